--- /dev/null
+++ b/crates/meadowstream/src/brain.rs
@@ -0,0 +1,707 @@
+//! Every decision of meadowstream: one `Brain` lives in each server and sees that server alone.
+//!
+//! How it is called: the host makes it with `Brain::new` and passes on what happens as `arrived`,
+//! `finished`, `needs_call`, `call_ended`, `told_to_leave`, `caller_gone` and `woken`. Each call notes
+//! what it brings, then goes through `RULES` in order, from the top again after each rule that fires,
+//! until none does. What is decided goes out through the `Host` passed with the call.
+//! The interface (`Host`, `Deployment`, `Arrival`, `Ending`) is in lib.rs, the regulator's sums in
+//! lq.rs, the decaying sums in decay.rs. `docs/design.md` says what follows the paper and what departs.
+
+use crate::decay::Decaying;
+use crate::lq::{self, Fit, Plant};
+use crate::{Advert, Arrival, Below, Deployment, Effect, Ending, Halting, Host, Nanos};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// The control period, and how often in it the gauge (which looks back half a second) is read.
+const PERIOD: Nanos = 1_000_000_000;
+const READINGS: u32 = 2;
+/// Busy share of the cores to steer to.
+const REFERENCE: f64 = 0.9;
+/// Weights of error and running sum, and of refusing premium and basic: the paper's.
+const STATE_WEIGHTS: [f64; 2] = [1.0, 0.1];
+const INPUT_WEIGHTS: [f64; 2] = [0.1, 0.001];
+const RICCATI_STEPS: usize = 200;
+const RICCATI_TOLERANCE: f64 = 1e-6;
+/// The fit: doubt in the prior, forgetting, and how much rtr must have varied before it is believed.
+const FIT_DOUBT: f64 = 1.0;
+const FIT_FORGETTING: f64 = 0.97;
+const EXCITED: f64 = 0.5;
+/// Learned times are halved in weight after this many periods.
+const MEMORY_PERIODS: u64 = 8;
+/// Before anything is learned a run is taken to need this share of its latency objective.
+const FIRST_GUESS: f64 = 0.15;
+/// A run is hopeless when less than this share of its usual time is left.
+const LEAST_CHANCE: f64 = 0.6;
+/// Share of the latency objective kept for the way back to the client.
+const WAY_BACK: f64 = 0.02;
+/// Share of memory and of the survivable crowd that is used.
+const MEMORY_SHARE: f64 = 0.85;
+const CROWD_SHARE: f64 = 0.7;
+/// Steps of the running limit a reading, and the slowdown of runs at which it eases back.
+const LIMIT_UP: f64 = 1.15;
+const LIMIT_DOWN: f64 = 0.95;
+const SLOWED: f64 = 1.3;
+/// Share of runs that fail, without overload, from which a server keeps arrivals away.
+const FAILING: f64 = 0.25;
+/// Nothing moved on the cores for this many usual run times: they stand still.
+const STALLED: f64 = 6.0;
+
+const TICK: u32 = 0;
+const ALARM: u32 = 1;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Held,
+    OnCores,
+    AtCall,
+    Calling,
+    Reusing,
+}
+
+#[derive(Clone, Debug)]
+struct Inv {
+    id: u64,
+    operation: usize,
+    rank: usize,
+    arrived: Nanos,
+    /// When the final answer is owed, and until when an answer is worth its full value.
+    due: Nanos,
+    wanted: Nanos,
+    held_kb: f64,
+    repeats: Option<u64>,
+    state: State,
+    since: Nanos,
+    begun: Nanos,
+    on_cores: Nanos,
+    retry_call_at: Nanos,
+    ran: bool,
+    answered: bool,
+    stopped: bool,
+    judged: bool,
+}
+
+/// What is learned of an operation: time on the cores, and from start to end, calls included.
+#[derive(Clone, Debug)]
+struct Learned {
+    work: Decaying,
+    whole: Decaying,
+    base: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Regulator {
+    /// The lowest rank not wholly refused: it is "basic" now, the next one "premium".
+    cut: usize,
+    sum: f64,
+    /// Refusal ratios of premium and basic.
+    ratio: [f64; 2],
+    output: f64,
+    fit: Fit,
+    /// Spread of the basic ratio over recent periods.
+    varied: f64,
+}
+
+pub struct Brain {
+    site: Deployment,
+    now: Nanos,
+    born: Nanos,
+    invs: Vec<Inv>,
+    values: Vec<f64>,
+    learned: Vec<Learned>,
+    tenants: Vec<(f64, Nanos)>,
+    tokens: Vec<Nanos>,
+    limit: f64,
+    busy: Vec<f64>,
+    regulator: Regulator,
+    period_start: Nanos,
+    last_progress: Nanos,
+    failing: Decaying,
+    leave: Option<(Nanos, Nanos)>,
+    alarm_at: Nanos,
+    advertised: f64,
+    healthy: bool,
+}
+
+type Rule = fn(&mut Brain, &mut dyn Host) -> bool;
+
+/// Gone through in this order after every input, until none fires.
+const RULES: &[Rule] = &[
+    Brain::answer_what_is_due,
+    Brain::answer_what_comes_too_late,
+    Brain::stop_what_nobody_wants,
+    Brain::refuse_while_leaving,
+    Brain::refuse_in_the_window,
+    Brain::refuse_beyond_memory,
+    Brain::reuse_for_repeats,
+    Brain::refuse_what_cannot_be_done_in_time,
+    Brain::make_calls,
+    Brain::run_next,
+    Brain::tell_callers,
+    Brain::set_alarm,
+];
+
+impl Brain {
+    pub fn new(site: Deployment, seed: u64, now: Nanos, host: &mut dyn Host) -> Self {
+        let shares: &[f64] =
+            if site.tenant_allowance.is_empty() { &[1.0] } else { &[site.over_share_value, 1.0] };
+        let mut values: Vec<f64> = site
+            .operations
+            .iter()
+            .flat_map(|op| shares.iter().map(|share| op.billed_value * share))
+            .collect();
+        values.sort_by(f64::total_cmp);
+        values.dedup();
+        let memory = PERIOD * MEMORY_PERIODS;
+        let learned = |guess: f64| Learned {
+            work: Decaying::starting_at(memory, now, guess, 1.0),
+            whole: Decaying::starting_at(memory, now, guess, 1.0),
+            base: f64::INFINITY,
+        };
+        let prior = Plant { a: 0.0, b: [-REFERENCE; 2] };
+        let mut chance = ChaCha8Rng::seed_from_u64(seed);
+        let offset = chance.random_range(0..PERIOD / Nanos::from(READINGS));
+        host.wake(offset, TICK);
+        Self {
+            now,
+            born: now,
+            invs: Vec::new(),
+            learned: site
+                .operations
+                .iter()
+                .map(|op| learned(op.latency_objective as f64 * FIRST_GUESS))
+                .collect(),
+            tenants: site.tenant_allowance.iter().map(|each| (each / site.peers, now)).collect(),
+            tokens: Vec::new(),
+            limit: site.cores,
+            busy: Vec::new(),
+            regulator: Regulator {
+                cut: 0,
+                sum: 0.0,
+                ratio: [0.0; 2],
+                output: 0.0,
+                fit: Fit::new(&prior, FIT_DOUBT, FIT_FORGETTING),
+                varied: 0.0,
+            },
+            period_start: now,
+            last_progress: now,
+            failing: Decaying::new(memory / 4, now),
+            leave: None,
+            alarm_at: Nanos::MAX,
+            advertised: f64::NAN,
+            healthy: true,
+            values,
+            site,
+        }
+    }
+
+    // ---- What happens to the server ----
+
+    pub fn arrived(&mut self, now: Nanos, arrival: Arrival, host: &mut dyn Host) {
+        self.now = now;
+        let over_share = self.takes_more_than_its_share(arrival.tenant);
+        let op = &self.site.operations[arrival.operation];
+        let reached = now.saturating_sub(arrival.age);
+        let waits = arrival.patience.map_or(reached + op.client_timeout, |left| now + left);
+        let wanted = reached + (op.latency_objective as f64 * (1.0 - WAY_BACK)) as Nanos;
+        let value = op.billed_value * if over_share { self.site.over_share_value } else { 1.0 };
+        let tokened = op.effect == Effect::Tokened;
+        if tokened && arrival.repeats.is_none() {
+            let life = op.token_window;
+            if self.memory_needed() + self.site.entry_kb <= self.site.memory_kb * MEMORY_SHARE {
+                host.remember(arrival.id, life);
+                self.tokens.push(now + life);
+            }
+        }
+        self.invs.push(Inv {
+            id: arrival.id,
+            operation: arrival.operation,
+            rank: self.values.iter().position(|v| *v >= value).unwrap_or(self.values.len() - 1),
+            arrived: reached,
+            due: waits.max(now),
+            wanted: wanted.min(waits),
+            held_kb: arrival.held_kb,
+            repeats: arrival.repeats,
+            state: State::Held,
+            since: now,
+            begun: now,
+            on_cores: 0,
+            retry_call_at: 0,
+            ran: false,
+            answered: false,
+            stopped: false,
+            judged: false,
+        });
+        self.decide(host);
+    }
+
+    pub fn finished(&mut self, now: Nanos, id: u64, ending: Ending, host: &mut dyn Host) {
+        self.now = now;
+        if let Some(i) = self.find(id) {
+            self.progress(i);
+            let inv = self.invs[i].clone();
+            let ended = matches!(ending, Ending::Succeeded | Ending::Errored);
+            if ending == Ending::Succeeded && inv.state != State::Reusing {
+                let learned = &mut self.learned[inv.operation];
+                learned.work.add(now, inv.on_cores as f64);
+                learned.whole.add(now, (now - inv.begun) as f64);
+                learned.base = (learned.base * 1.005).min(learned.work.mean());
+            }
+            if ended && inv.state != State::Reusing {
+                self.failing.add(now, f64::from(ending == Ending::Errored));
+            }
+            if ended || inv.answered {
+                self.invs.remove(i);
+            } else {
+                // Stopped before it was answered: its work is lost, and it is held again.
+                self.invs[i].state = State::Held;
+            }
+        }
+        self.decide(host);
+    }
+
+    pub fn needs_call(&mut self, now: Nanos, id: u64, host: &mut dyn Host) {
+        self.now = now;
+        if let Some(i) = self.find(id) {
+            self.progress(i);
+            self.enter(i, State::AtCall);
+        }
+        self.decide(host);
+    }
+
+    pub fn call_ended(&mut self, now: Nanos, id: u64, ending: Ending, _took: Nanos, host: &mut dyn Host) {
+        self.now = now;
+        if let Some(i) = self.find(id) {
+            if ending == Ending::Succeeded {
+                self.enter(i, State::OnCores);
+            } else {
+                let inv = &self.invs[i];
+                let op = &self.site.operations[inv.operation];
+                let pause = self.learned[inv.operation].whole.mean() / 4.0;
+                if ending == Ending::NeverRan || op.effect == Effect::Idempotent {
+                    self.invs[i].retry_call_at = now + pause as Nanos;
+                    self.enter(i, State::AtCall);
+                } else {
+                    self.enter(i, State::AtCall);
+                    self.answer(i, 0, host);
+                }
+            }
+        }
+        self.decide(host);
+    }
+
+    pub fn told_to_leave(&mut self, now: Nanos, grace: Nanos, host: &mut dyn Host) {
+        self.now = now;
+        self.leave = Some((now + self.site.drain_grace, now + grace));
+        host.log("leaving");
+        self.decide(host);
+    }
+
+    pub fn caller_gone(&mut self, now: Nanos, id: u64, host: &mut dyn Host) {
+        self.now = now;
+        if let Some(i) = self.find(id) {
+            self.invs[i].answered = true;
+            if matches!(self.invs[i].state, State::Held | State::Reusing) {
+                self.invs.remove(i);
+            }
+        }
+        self.decide(host);
+    }
+
+    pub fn woken(&mut self, now: Nanos, token: u32, busy: Option<f64>, host: &mut dyn Host) {
+        self.now = now;
+        if token == TICK {
+            host.wake(PERIOD / Nanos::from(READINGS), TICK);
+            self.busy.push(busy.unwrap_or(self.running() as f64 / self.site.cores).min(1.0));
+            self.learn_limit(*self.busy.last().expect("just pushed"));
+            if self.busy.len() == READINGS as usize {
+                self.regulate(host);
+                self.busy.clear();
+                self.period_start = now;
+            }
+        } else if now >= self.alarm_at {
+            self.alarm_at = Nanos::MAX;
+        }
+        self.decide(host);
+    }
+
+    fn decide(&mut self, host: &mut dyn Host) {
+        self.tokens.retain(|end| *end > self.now);
+        while RULES.iter().any(|rule| rule(self, host)) {}
+    }
+
+    // ---- The regulator ----
+
+    /// Once a period: from measured utilisation to the refusal ratios of basic and premium.
+    fn regulate(&mut self, host: &mut dyn Host) {
+        let busy = self.busy.iter().sum::<f64>() / self.busy.len() as f64;
+        let output = busy + self.overhang();
+        let ranks = self.values.len();
+        let r = &mut self.regulator;
+        let error = output - REFERENCE;
+        if r.ratio[1] > 0.0 {
+            r.fit.learn(r.output, r.ratio, output);
+            r.varied = r.varied * FIT_FORGETTING + (r.output - output).abs() * r.ratio[1];
+        }
+        r.output = output;
+        let prior = Plant { a: 0.0, b: [-output.max(REFERENCE); 2] };
+        let fitted = r.fit.plant();
+        // Guards against a fit bent by retries, a neighbour or a cold start: one of the wrong sign,
+        // or that is not stable by itself, is not believed.
+        let sound =
+            r.varied > EXCITED && fitted.a.abs() < 1.0 && fitted.b.iter().all(|b| (-2.0..-0.2).contains(b));
+        let gains = |plant| lq::gains(&plant, STATE_WEIGHTS, INPUT_WEIGHTS, RICCATI_STEPS, RICCATI_TOLERANCE);
+        let k = gains(if sound { fitted } else { prior }).or_else(|| gains(prior)).unwrap_or([[0.0; 2]; 2]);
+        let frozen = (r.ratio[1] >= 1.0 && error > 0.0) || (r.ratio[1] <= 0.0 && error < 0.0);
+        if !frozen {
+            r.sum += error;
+        }
+        let most = if k[1][1] > 0.0 { 1.0 / k[1][1] } else { 0.0 };
+        r.sum = r.sum.clamp(0.0, most);
+        let before = r.ratio[1];
+        r.ratio = k.map(|row| (row[0] * error + row[1] * r.sum).clamp(0.0, 1.0));
+        // The design's gap: what is spared can overload the server by itself. Only when basic has been
+        // refused for a whole period and it was not enough do the ranks move up by one.
+        if before >= 1.0 && error > 0.0 && r.cut + 1 < ranks {
+            r.cut += 1;
+            r.sum = 0.0;
+            r.ratio = [0.0; 2];
+        } else if before <= 0.0 && r.ratio[1] <= 0.0 && r.cut > 0 {
+            r.cut -= 1;
+            r.sum = most;
+            r.ratio[1] = 1.0;
+        }
+        if (before > 0.0) != (r.ratio[1] > 0.0) {
+            host.log(if before > 0.0 { "refusing ends" } else { "refusing begins" });
+        }
+    }
+
+    /// Work that stands in the hold beyond what the cores can take in a period: utilisation that the
+    /// gauge cannot show, since it ends at 1.
+    fn overhang(&self) -> f64 {
+        let held = self.invs.iter().filter(|inv| inv.state == State::Held);
+        let work: f64 = held.map(|inv| self.learned[inv.operation].work.mean()).sum();
+        work / (self.limit * PERIOD as f64)
+    }
+
+    fn refusal_ratio(&self, rank: usize) -> f64 {
+        let r = &self.regulator;
+        let regular = match rank.cmp(&r.cut) {
+            std::cmp::Ordering::Less => 1.0,
+            std::cmp::Ordering::Equal => r.ratio[1],
+            std::cmp::Ordering::Greater if rank == r.cut + 1 => r.ratio[0],
+            std::cmp::Ordering::Greater => 0.0,
+        };
+        if self.is_stalled() {
+            return 1.0;
+        }
+        let failing = if self.failing.weight(self.now) > 2.0 { self.failing.mean() } else { 0.0 };
+        if failing > FAILING { regular.max(failing.min(0.9)) } else { regular }
+    }
+
+    /// The learned running limit: from the core count up to what the server survives.
+    fn learn_limit(&mut self, busy: f64) {
+        let waiting = self.invs.iter().any(|inv| inv.state == State::Held);
+        let slowed = self.learned.iter().any(|l| l.work.mean() > l.base * SLOWED);
+        if waiting && busy < REFERENCE {
+            self.limit *= LIMIT_UP;
+        } else if slowed || busy > REFERENCE {
+            self.limit *= LIMIT_DOWN;
+        }
+        self.limit = self.limit.clamp(self.site.cores, self.crowd().max(self.site.cores));
+    }
+
+    // ---- Rules ----
+
+    /// Rule 1: everything read is answered by its due time, even if its work still runs.
+    fn answer_what_is_due(&mut self, host: &mut dyn Host) -> bool {
+        let Some(i) = self.invs.iter().position(|inv| !inv.answered && self.now >= self.last_call_for(inv))
+        else {
+            return false;
+        };
+        self.answer(i, 0, host);
+        true
+    }
+
+    /// Past the latency objective, or sure to be, nothing is earned (or too little to wait for).
+    fn answer_what_comes_too_late(&mut self, host: &mut dyn Host) -> bool {
+        let Some(i) = self.invs.iter().position(|inv| !inv.answered && self.now >= self.hopeless_from(inv))
+        else {
+            return false;
+        };
+        self.answer(i, 0, host);
+        true
+    }
+
+    fn stop_what_nobody_wants(&mut self, host: &mut dyn Host) -> bool {
+        if self.site.halting == Halting::Impossible {
+            return false;
+        }
+        let unwanted = |inv: &Inv| inv.answered && !inv.stopped && inv.state == State::OnCores;
+        let Some(i) = self.invs.iter().position(unwanted) else { return false };
+        self.invs[i].stopped = true;
+        host.stop(self.invs[i].id);
+        true
+    }
+
+    /// Rule 3: what arrives later than the grace after the notice is not run.
+    fn refuse_while_leaving(&mut self, host: &mut dyn Host) -> bool {
+        let Some((last, _)) = self.leave else { return false };
+        let late = |inv: &Inv| inv.state == State::Held && inv.arrived >= last;
+        let Some(i) = self.invs.iter().position(late) else { return false };
+        self.answer(i, self.site.stay_away_max, host);
+        true
+    }
+
+    /// The design's actuator: arrivals in the first rtr of the period are refused, by rank.
+    fn refuse_in_the_window(&mut self, host: &mut dyn Host) -> bool {
+        let Some(i) = self.invs.iter().position(|inv| !inv.judged) else { return false };
+        self.invs[i].judged = true;
+        if self.invs[i].repeats.is_some() {
+            return true;
+        }
+        let window = (self.refusal_ratio(self.invs[i].rank) * PERIOD as f64) as Nanos;
+        let passed = self.now - self.period_start;
+        if passed < window {
+            self.answer(i, window - passed, host);
+        }
+        true
+    }
+
+    /// Rule 4: held, running and kept together stay within memory.
+    fn refuse_beyond_memory(&mut self, host: &mut dyn Host) -> bool {
+        if self.memory_needed() <= self.site.memory_kb * MEMORY_SHARE {
+            return false;
+        }
+        let held = (0..self.invs.len()).filter(|i| self.invs[*i].state == State::Held);
+        let Some(i) = held.min_by_key(|i| (self.invs[*i].rank, std::cmp::Reverse(*i))) else { return false };
+        self.answer(i, PERIOD, host);
+        true
+    }
+
+    /// Rule 2: a repeat of what was kept is answered from its forerunner, not run.
+    fn reuse_for_repeats(&mut self, host: &mut dyn Host) -> bool {
+        let repeat = |inv: &Inv| inv.state == State::Held && inv.repeats.is_some();
+        let Some(i) = self.invs.iter().position(repeat) else { return false };
+        self.enter(i, State::Reusing);
+        host.reuse(self.invs[i].id);
+        true
+    }
+
+    /// Walks the hold in the order it will run; where one would miss its objective, the least worthy
+    /// (of equals the newest) of those up to it is refused, so that the rest can be in time.
+    fn refuse_what_cannot_be_done_in_time(&mut self, host: &mut dyn Host) -> bool {
+        let order = self.hold_in_order();
+        let free = (self.limit - self.running() as f64).floor().max(0.0) as usize;
+        let mut ahead = 0.0;
+        for (n, i) in order.iter().enumerate() {
+            let inv = &self.invs[*i];
+            let learned = &self.learned[inv.operation];
+            let wait = if n < free { 0.0 } else { ahead / self.limit };
+            ahead += learned.work.mean();
+            if self.now as f64 + wait + learned.whole.mean() > inv.wanted as f64 && n >= free {
+                let victim = order[..=n].iter().min_by_key(|i| {
+                    (self.invs[**i].rank, std::cmp::Reverse(self.invs[**i].arrived), std::cmp::Reverse(**i))
+                });
+                let advice = (wait as Nanos).min(PERIOD);
+                self.answer(*victim.expect("at least one"), advice, host);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Work already spent is worth finishing: calls are made while the answer is wanted.
+    fn make_calls(&mut self, host: &mut dyn Host) -> bool {
+        let calling = self.invs.iter().filter(|inv| inv.state == State::Calling).count() as f64;
+        let room = match self.site.below {
+            Below::Shared { share, .. } => (share * CROWD_SHARE).max(1.0),
+            _ => f64::INFINITY,
+        };
+        let ready = |inv: &Inv| inv.state == State::AtCall && !inv.answered && self.now >= inv.retry_call_at;
+        let Some(i) = self.invs.iter().position(ready).filter(|_| calling + 1.0 <= room) else {
+            return false;
+        };
+        self.enter(i, State::Calling);
+        let inv = &self.invs[i];
+        host.call(inv.id, self.last_call_for(inv).saturating_sub(self.now).max(1));
+        true
+    }
+
+    fn run_next(&mut self, host: &mut dyn Host) -> bool {
+        let open = self.invs.iter().filter(|inv| !matches!(inv.state, State::Held | State::Reusing)).count();
+        if self.running() as f64 + 1.0 > self.limit.min(self.crowd()).max(1.0)
+            || open as f64 + 1.0 > self.crowd().max(1.0)
+        {
+            return false;
+        }
+        let Some(i) = self.hold_in_order().into_iter().next() else { return false };
+        let more = self.invs[i].held_kb * (self.site.run_memory - 1.0);
+        if self.memory_needed() + more > self.site.memory_kb * MEMORY_SHARE {
+            return false;
+        }
+        self.enter(i, State::OnCores);
+        let inv = &mut self.invs[i];
+        inv.begun = self.now;
+        inv.ran = true;
+        host.run(inv.id);
+        true
+    }
+
+    fn tell_callers(&mut self, host: &mut dyn Host) -> bool {
+        let gone = self.leave.is_some();
+        let failing =
+            self.is_stalled() || (self.failing.weight(self.now) > 2.0 && self.failing.mean() > 2.0 * FAILING);
+        let healthy = !gone && !failing;
+        let refused = self.refusal_ratio(self.regulator.cut);
+        let value = match self.site.advert {
+            Advert::Nothing => self.advertised,
+            Advert::Weight => {
+                if gone {
+                    0.0
+                } else {
+                    1.0 - refused
+                }
+            }
+            Advert::Floor => {
+                if gone {
+                    1.0
+                } else {
+                    0.0
+                }
+            }
+            Advert::Allowance => {
+                if gone {
+                    0.0
+                } else {
+                    self.limit
+                }
+            }
+        };
+        if healthy == self.healthy && (value.is_nan() || value == self.advertised) {
+            return false;
+        }
+        if healthy != self.healthy {
+            self.healthy = healthy;
+            host.health(healthy, !healthy);
+            host.log(if healthy { "healthy" } else { "unhealthy" });
+        }
+        if !value.is_nan() && value != self.advertised {
+            self.advertised = value;
+            host.advertise(value);
+        }
+        true
+    }
+
+    fn set_alarm(&mut self, host: &mut dyn Host) -> bool {
+        let next = self.invs.iter().filter(|inv| !inv.answered).map(|inv| {
+            let call = if inv.state == State::AtCall { inv.retry_call_at } else { Nanos::MAX };
+            let call = if call > self.now { call } else { Nanos::MAX };
+            self.last_call_for(inv).min(self.hopeless_from(inv)).min(call)
+        });
+        let Some(next) = next.min().filter(|next| *next < self.alarm_at) else { return false };
+        self.alarm_at = next;
+        host.wake(next.saturating_sub(self.now).max(1), ALARM);
+        true
+    }
+
+    // ---- Helpers ----
+
+    fn find(&self, id: u64) -> Option<usize> {
+        self.invs.iter().position(|inv| inv.id == id)
+    }
+
+    fn enter(&mut self, i: usize, state: State) {
+        let inv = &mut self.invs[i];
+        if inv.state == State::OnCores {
+            inv.on_cores += self.now - inv.since;
+        }
+        (inv.state, inv.since) = (state, self.now);
+    }
+
+    fn progress(&mut self, i: usize) {
+        self.last_progress = self.now;
+        let state = self.invs[i].state;
+        self.enter(i, state);
+    }
+
+    fn running(&self) -> usize {
+        self.invs.iter().filter(|inv| inv.state == State::OnCores).count()
+    }
+
+    /// Runs that may be open at once, cut while the server may still be cold.
+    fn crowd(&self) -> f64 {
+        let warmed = (self.now - self.born) as f64 / self.site.cold_for.max(1) as f64;
+        let speed = if self.site.cold { (self.site.cold_speed + warmed).min(1.0) } else { 1.0 };
+        self.site.cores * (1.0 + (self.site.survivable_crowd - 1.0) * speed) * CROWD_SHARE
+    }
+
+    fn memory_needed(&self) -> f64 {
+        let times = |inv: &Inv| {
+            if matches!(inv.state, State::Held | State::Reusing) { 1.0 } else { self.site.run_memory }
+        };
+        let held: f64 = self.invs.iter().map(|inv| inv.held_kb * times(inv)).sum();
+        held + self.tokens.len() as f64 * self.site.entry_kb
+    }
+
+    fn hold_in_order(&self) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..self.invs.len())
+            .filter(|i| self.invs[*i].state == State::Held && !self.invs[*i].answered)
+            .collect();
+        order.sort_by_key(|i| (self.invs[*i].wanted, self.invs[*i].id));
+        order
+    }
+
+    fn last_call_for(&self, inv: &Inv) -> Nanos {
+        let stop = self.leave.map_or(Nanos::MAX, |(_, stop)| stop.saturating_sub(2 * self.site.answer_grace));
+        inv.due.min(stop)
+    }
+
+    fn hopeless_from(&self, inv: &Inv) -> Nanos {
+        let op = &self.site.operations[inv.operation];
+        let usual = self.learned[inv.operation].whole.mean() * LEAST_CHANCE;
+        match inv.state {
+            State::Held => inv.wanted.saturating_sub(usual as Nanos),
+            _ if op.effect != Effect::Idempotent || op.late_value > 0.0 => inv.due,
+            _ => inv.wanted,
+        }
+    }
+
+    fn is_stalled(&self) -> bool {
+        let usual = self.learned.iter().map(|l| l.work.mean()).fold(0.0, f64::max);
+        let oldest = self.invs.iter().filter(|inv| inv.state == State::OnCores).map(|inv| inv.since).min();
+        oldest.is_some_and(|since| (self.now - since.max(self.last_progress)) as f64 > usual * STALLED)
+    }
+
+    fn takes_more_than_its_share(&mut self, tenant: usize) -> bool {
+        let Some((room, at)) = self.tenants.get_mut(tenant) else { return false };
+        let rate = self.site.tenant_allowance[tenant] / self.site.peers;
+        let seconds = (self.now - *at) as f64 / 1e9;
+        *room = (*room + rate * seconds).min(rate.max(1.0));
+        *at = self.now;
+        if *room < 1.0 {
+            return true;
+        }
+        *room -= 1.0;
+        false
+    }
+
+    /// The one final answer: throttled where nothing was done or nothing can happen twice, else errored.
+    fn answer(&mut self, i: usize, stay_away: Nanos, host: &mut dyn Host) {
+        let late = self.now >= self.hopeless_from(&self.invs[i]);
+        let inv = &mut self.invs[i];
+        let effect = self.site.operations[inv.operation].effect;
+        if effect == Effect::Idempotent || (!inv.ran && inv.repeats.is_none()) {
+            host.throttle(inv.id, late, stay_away.min(self.site.stay_away_max));
+        } else {
+            host.give_up(inv.id);
+        }
+        if effect == Effect::Tokened && !inv.ran && inv.repeats.is_none() {
+            host.forget(inv.id);
+        }
+        inv.answered = true;
+        if matches!(inv.state, State::Held | State::Reusing) {
+            self.invs.remove(i);
+        }
+    }
+}
--- /dev/null
+++ b/crates/meadowstream/src/lib.rs
@@ -0,0 +1,147 @@
+//! meadowstream: overload control inside one server of a fleet.
+//!
+//! A host makes a [`brain::Brain`] from a [`Deployment`], passes on what happens to it as calls
+//! (`arrived`, `finished`, ...), and gives each call a [`Host`] on which the decisions come out.
+//! Neither side knows a protocol. Times are nanoseconds of any clock that never goes back.
+
+pub mod brain;
+pub mod decay;
+pub mod lq;
+
+pub type Nanos = u64;
+
+/// What the module may ask of the server that hosts it. Ids come back as they were given.
+pub trait Host {
+    /// Take a held invocation to the cores, or let a paused one go on.
+    fn run(&mut self, inv: u64);
+    /// Take an invocation off the cores.
+    fn stop(&mut self, inv: u64);
+    /// Answer that nothing was done; `stay_away` is advice for this server alone, 0 for none.
+    fn throttle(&mut self, inv: u64, no_retry: bool, stay_away: Nanos);
+    /// Answer with an error.
+    fn give_up(&mut self, inv: u64);
+    /// Let a run that waits at a call make it.
+    fn call(&mut self, inv: u64, timeout: Nanos);
+    /// Let a run go on without its call.
+    fn skip_call(&mut self, inv: u64);
+    /// Keep an invocation in the table of tokens.
+    fn remember(&mut self, inv: u64, life: Nanos);
+    fn forget(&mut self, inv: u64);
+    /// Answer a repeat from its forerunner's result.
+    fn reuse(&mut self, inv: u64);
+    /// What health checks hear; `stored` answers them without doing the work of one.
+    fn health(&mut self, good: bool, stored: bool);
+    /// The value that rides on answers (see [`Advert`]).
+    fn advertise(&mut self, value: f64);
+    /// Call `woken` with this token after a while.
+    fn wake(&mut self, after: Nanos, token: u32);
+    fn log(&mut self, line: &str);
+}
+
+/// What the operator's settings say, as far as decisions read them.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub operations: Vec<Operation>,
+    /// Invocations a second that the whole fleet grants each tenant.
+    pub tenant_allowance: Vec<f64>,
+    pub over_share_value: f64,
+    /// Servers of this tier listed at start.
+    pub peers: f64,
+    pub cores: f64,
+    pub memory_kb: f64,
+    pub run_memory: f64,
+    pub entry_kb: f64,
+    pub halting: Halting,
+    pub below: Below,
+    pub advert: Advert,
+    pub stay_away_max: Nanos,
+    pub drain_grace: Nanos,
+    pub answer_grace: Nanos,
+    pub survivable_crowd: f64,
+    pub crowd_window: Nanos,
+    pub cold: bool,
+    pub cold_speed: f64,
+    pub cold_for: Nanos,
+}
+
+#[derive(Clone, Debug)]
+pub struct Operation {
+    pub effect: Effect,
+    pub latency_objective: Nanos,
+    pub client_timeout: Nanos,
+    pub token_window: Nanos,
+    pub billed_value: f64,
+    pub late_value: f64,
+    /// Share of the value an answer keeps when a call was left out.
+    pub without_call_value: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Idempotent,
+    Tokened,
+    NonIdempotent,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Halting {
+    Impossible,
+    /// Stopped work falls back into the hold and is lost.
+    Discards,
+    /// Stopped work keeps its progress and memory.
+    Pauses,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Below {
+    Nothing,
+    Tier,
+    /// One dependency for all servers: the mean number of calls that is this server's share, the
+    /// span of that mean, and how long an abandoned call lingers there.
+    Shared {
+        share: f64,
+        span: Nanos,
+        linger: Nanos,
+    },
+}
+
+/// What the value on answers means to those who heed it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Advert {
+    Nothing,
+    /// Nothing of lower rank is sent.
+    Floor,
+    /// Invocations a caller may have here at once.
+    Allowance,
+    /// Chance of not being passed over.
+    Weight,
+}
+
+/// An invocation as it is read.
+#[derive(Clone, Debug, Default)]
+pub struct Arrival {
+    pub id: u64,
+    pub operation: usize,
+    pub tenant: usize,
+    /// Since it reached the machine.
+    pub age: Nanos,
+    /// How long the caller still waits, where it says so.
+    pub patience: Option<Nanos>,
+    /// The invocation of which it is a repeat.
+    pub repeats: Option<u64>,
+    /// Marked as a further try or a copy.
+    pub marked_retry: bool,
+    pub held_kb: f64,
+}
+
+/// How a run or a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Succeeded,
+    Errored,
+    /// It may have had its effect.
+    Unknown,
+    /// It is known that nothing was done.
+    NeverRan,
+    Cancelled,
+}
--- /dev/null
+++ b/crates/simhost/src/main.rs
@@ -0,0 +1,121 @@
+//! `meadowstream-simhost`: hosts one isolated instance of the module for each simulated server, on
+//! standard input and output. It decides nothing.
+
+mod codec;
+mod settings;
+
+use anyhow::{Context, Result, bail, ensure};
+use codec::{Batch, Event, Reply};
+use meadowstream::{Arrival, brain::Brain};
+use std::io::{Read, Write};
+
+struct Life {
+    brain: Brain,
+    busy_gauge: Option<usize>,
+    operations: usize,
+    tenants: usize,
+}
+
+#[derive(Default)]
+struct Hosting {
+    lives: Vec<Option<Life>>,
+}
+
+impl Hosting {
+    fn handle(&mut self, instance: u16, event: Event, now: u64, reply: &mut Reply) -> Result<()> {
+        let slot = usize::from(instance);
+        let code = event.u8(0);
+        reply.speaks(instance);
+        if code == 10 {
+            let read = settings::read(event.text(9)?)?;
+            let (operations, tenants) =
+                (read.deployment.operations.len(), read.deployment.tenant_allowance.len());
+            let brain = Brain::new(read.deployment, event.u64(1), now, reply);
+            if self.lives.len() <= slot {
+                self.lives.resize_with(slot + 1, || None);
+            }
+            self.lives[slot] = Some(Life { brain, busy_gauge: read.busy_gauge, operations, tenants });
+            return Ok(());
+        }
+        let life = self.lives.get_mut(slot).and_then(Option::as_mut);
+        let life =
+            life.with_context(|| format!("event {code} for instance {instance}, which has not started"))?;
+        let brain = &mut life.brain;
+        match code {
+            20 => {
+                let arrival = arrival(event)?;
+                ensure!(arrival.operation < life.operations, "unknown operation {}", arrival.operation);
+                ensure!(arrival.tenant < life.tenants.max(1), "unknown tenant {}", arrival.tenant);
+                brain.arrived(now, arrival, reply);
+            }
+            30 => brain.finished(now, event.u64(1), event.ending(9)?, reply),
+            40 => brain.needs_call(now, event.u64(1), reply),
+            50 => brain.call_ended(now, event.u64(1), event.ending(9)?, event.span(11), reply),
+            60 => brain.told_to_leave(now, event.span(1), reply),
+            70 => brain.caller_gone(now, event.u64(1), reply),
+            80 => {
+                let gauges = usize::from(event.u8(5));
+                if gauges > 4 {
+                    bail!("{gauges} gauges where 4 fit");
+                }
+                let busy = match life.busy_gauge {
+                    Some(i) if i < gauges => Some(event.number(6 + 4 * i)?),
+                    _ => None,
+                };
+                brain.woken(now, event.u32(1), busy, reply);
+            }
+            90 => self.lives[slot] = None,
+            _ => bail!("unknown event code {code}"),
+        }
+        Ok(())
+    }
+
+    fn batch(&mut self, batch: &Batch, reply: &mut Reply) -> Result<()> {
+        let mut instance = None;
+        for i in 0..batch.count {
+            let event = batch.event(i);
+            if event.u8(0) == 100 {
+                instance = Some(event.u16(1));
+                continue;
+            }
+            let at = instance.with_context(|| format!("record {i}: no instance named before it"))?;
+            self.handle(at, event, batch.clock, reply).with_context(|| format!("record {i}"))?;
+        }
+        Ok(())
+    }
+}
+
+fn arrival(event: Event) -> Result<Arrival> {
+    let (repeats, patience, flags) = (event.u64(13), event.span(21), event.u8(25));
+    Ok(Arrival {
+        id: event.u64(1),
+        age: event.span(9),
+        repeats: (repeats != 0).then_some(repeats),
+        patience: (patience != 0).then_some(patience),
+        marked_retry: flags & 2 != 0,
+        held_kb: event.number(38)?,
+        tenant: event.u32(42) as usize,
+        operation: usize::from(event.u8(46)),
+    })
+}
+
+fn serve(input: &mut impl Read, output: &mut impl Write) -> Result<()> {
+    let (mut hosting, mut batch, mut reply) = (Hosting::default(), Batch::default(), Reply::default());
+    let mut frame = Vec::new();
+    for nth in 0u64.. {
+        if !batch.read(input).with_context(|| format!("batch {nth}"))? {
+            break;
+        }
+        hosting.batch(&batch, &mut reply).with_context(|| format!("batch {nth}"))?;
+        reply.finish(&mut frame);
+        output.write_all(&frame).and_then(|()| output.flush()).context("writing a reply")?;
+    }
+    Ok(())
+}
+
+fn main() {
+    if let Err(trouble) = serve(&mut std::io::stdin().lock(), &mut std::io::stdout().lock()) {
+        eprintln!("meadowstream-simhost: {trouble:#}");
+        std::process::exit(1);
+    }
+}
--- /dev/null
+++ b/crates/simhost/src/settings.rs
@@ -0,0 +1,139 @@
+//! Reads a deployment from the `path=value` lines a new instance starts with.
+
+use anyhow::{Context, Result, anyhow, bail};
+use meadowstream::{Advert, Below, Deployment, Effect, Halting, Nanos, Operation};
+use std::collections::HashMap;
+use std::str::FromStr;
+
+struct Pairs<'a>(HashMap<&'a str, &'a str>);
+
+impl<'a> Pairs<'a> {
+    fn text(&self, path: &str) -> Result<&'a str> {
+        self.0.get(path).copied().with_context(|| format!("setting {path} is missing"))
+    }
+
+    fn get<T: FromStr>(&self, path: &str) -> Result<T> {
+        let text = self.text(path)?;
+        text.parse().map_err(|_| anyhow!("setting {path}: cannot read {text:?}"))
+    }
+
+    fn get_or<T: FromStr>(&self, path: &str, absent: T) -> Result<T> {
+        if self.0.contains_key(path) { self.get(path) } else { Ok(absent) }
+    }
+
+    fn number(&self, path: &str) -> Result<f64> {
+        let number: f64 = self.get(path)?;
+        if !number.is_finite() || number < 0.0 {
+            bail!("setting {path}: {number} is out of range");
+        }
+        Ok(number)
+    }
+
+    fn span(&self, path: &str) -> Result<Nanos> {
+        let micros: u64 = self.get(path)?;
+        micros.checked_mul(1000).with_context(|| format!("setting {path}: {micros} is out of range"))
+    }
+
+    fn span_or(&self, path: &str, absent: Nanos) -> Result<Nanos> {
+        if self.0.contains_key(path) { self.span(path) } else { Ok(absent) }
+    }
+
+    fn choice<T: Copy>(&self, path: &str, choices: &[(&str, T)]) -> Result<T> {
+        let text = self.text(path)?;
+        let found = choices.iter().find(|(name, _)| *name == text);
+        found.map(|(_, choice)| *choice).with_context(|| format!("setting {path}: unknown choice {text:?}"))
+    }
+
+    fn list(&self, path: &str) -> Vec<&'a str> {
+        self.0.get(path).map(|text| text.split(',').filter(|x| !x.is_empty()).collect()).unwrap_or_default()
+    }
+}
+
+/// Where among the gauges the core utilisation stands.
+pub struct Read {
+    pub deployment: Deployment,
+    pub busy_gauge: Option<usize>,
+}
+
+pub fn read(config: &str) -> Result<Read> {
+    let mut pairs = Pairs(HashMap::new());
+    for line in config.lines().filter(|line| !line.is_empty()) {
+        let (path, value) = line.split_once('=').with_context(|| format!("setting {line:?} has no '='"))?;
+        pairs.0.insert(path, value);
+    }
+    let without_call = pairs.list("family-info.degraded-worth");
+    let mut operations = Vec::new();
+    for i in 0..pairs.get::<usize>("grades.count")? {
+        let at = |field: &str| format!("grades.{i}.{field}");
+        let effects = [
+            ("repeatable", Effect::Idempotent),
+            ("by_key", Effect::Tokened),
+            ("once", Effect::NonIdempotent),
+        ];
+        let effect = pairs.choice(&at("effect"), &effects)?;
+        let without_call_value = match without_call.get(i) {
+            Some(text) => text.parse().with_context(|| format!("family-info.degraded-worth: {text:?}"))?,
+            None => 0.0,
+        };
+        operations.push(Operation {
+            effect,
+            latency_objective: pairs.span(&at("target"))?,
+            client_timeout: pairs.span(&at("give-up"))?,
+            token_window: if effect == Effect::Tokened {
+                pairs.span(&at("window"))?
+            } else {
+                pairs.span_or(&at("window"), 0)?
+            },
+            billed_value: pairs.number(&at("worth"))?,
+            late_value: pairs.get_or(&at("late-worth"), 0.0)?,
+            without_call_value,
+        });
+    }
+    if operations.is_empty() {
+        bail!("setting grades.count: no operation");
+    }
+    let tenants = pairs.get_or("orgs.count", 0usize)?;
+    let tenant_allowance =
+        (0..tenants).map(|i| pairs.number(&format!("orgs.{i}.allowance-per-s"))).collect::<Result<_>>()?;
+    let below = match pairs.text("family-info.below")? {
+        "off" => Below::Nothing,
+        "tier" => Below::Tier,
+        "one_for_all" => Below::Shared {
+            share: pairs.number("family-info.dep-share")?,
+            span: pairs.span("family-info.calls-over")?,
+            linger: pairs.span_or("family-info.lingers", 0)?,
+        },
+        other => bail!("setting family-info.below: unknown choice {other:?}"),
+    };
+    let halts = [("off", Halting::Impossible), ("discard", Halting::Discards), ("freeze", Halting::Pauses)];
+    let adverts = [
+        ("off", Advert::Nothing),
+        ("floor", Advert::Floor),
+        ("allowance", Advert::Allowance),
+        ("weight", Advert::Weight),
+    ];
+    let advised = pairs.get_or("limits.retry-after", false)?;
+    let deployment = Deployment {
+        operations,
+        tenant_allowance,
+        over_share_value: pairs.get_or("over-share-worth", 1.0)?,
+        peers: pairs.number("peers-total")?.max(1.0),
+        cores: pairs.number("family-info.cores")?.max(1.0),
+        memory_kb: pairs.number("family-info.memory-kb")?,
+        run_memory: pairs.number("family-info.run-factor")?,
+        entry_kb: pairs.number("family-info.entry-kb")?,
+        halting: pairs.choice("family-info.preemption", &halts)?,
+        below,
+        advert: pairs.choice("family-info.say", &adverts)?,
+        stay_away_max: if advised { pairs.span("limits.max-retry-after")? } else { 0 },
+        drain_grace: pairs.span("contract.drain-grace")?,
+        answer_grace: pairs.span("contract.grace-to-answer")?,
+        survivable_crowd: pairs.number("contract.fall-multiple")?,
+        crowd_window: pairs.span("contract.fall")?,
+        cold: pairs.get_or("family-info.fresh-start", false)?,
+        cold_speed: pairs.number("contract.cold-from")?,
+        cold_for: pairs.span("contract.cold")?,
+    };
+    let busy_gauge = pairs.list("family-info.own-stats").iter().position(|name| *name == "cpu_busy");
+    Ok(Read { deployment, busy_gauge })
+}
