--- a/crates/meadowstream/src/lq.rs
+++ b/crates/meadowstream/src/lq.rs
@@ -70,8 +70,8 @@
         let pphi: [f64; 3] = std::array::from_fn(|i| (0..3).map(|j| self.p[i][j] * phi[j]).sum());
         let denominator = self.forgetting + (0..3).map(|i| phi[i] * pphi[i]).sum::<f64>();
         let miss = y - (0..3).map(|i| phi[i] * self.theta[i]).sum::<f64>();
-        for i in 0..3 {
-            self.theta[i] += pphi[i] / denominator * miss;
+        for (theta, x) in self.theta.iter_mut().zip(pphi) {
+            *theta += x / denominator * miss;
         }
         let spread = pphi.map(|x| x / denominator);
         for (row, lead) in self.p.iter_mut().zip(spread) {
--- /dev/null
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -0,0 +1,321 @@
+//! Plays the scenario files against the module alone. The notation, a line a step:
+//!
+//! - before `start`: `site NAME VALUE` changes the deployment, `operation NAME=VALUE ...` adds one,
+//!   `tenant PER_SECOND` adds one.
+//! - `busy X` sets the gauge; `wait MS` lets time pass, timers included; `repeat N` ... `end`.
+//! - `arrive NAME=VALUE ...` (ids count from 1), `finish ID|all|first [ok|error|cancelled]`,
+//!   `needs ID`, `called ID ok|error|unknown|never_ran`, `leave MS`, `gone ID`.
+//! - `expect WHAT [opN|ID] = | < | > NUMBER` counts results since `start` or the last `forget`.
+//!   WHAT is run, throttle, give_up, answer, stop, call, remember, forgotten, reuse, unhealthy, advert
+//!   (its last value in hundredths), away (longest advice in ms), latest (ms of the last answer), most (runs open at once).
+
+use meadowstream::{
+    Advert, Arrival, Below, Deployment, Effect, Ending, Halting, Host, Nanos, Operation, brain::Brain,
+};
+use std::collections::BTreeMap;
+use test_case::test_case;
+
+const MS: Nanos = 1_000_000;
+
+#[derive(Default)]
+struct Recorder {
+    now: Nanos,
+    results: Vec<(&'static str, u64)>,
+    wakes: Vec<(Nanos, u32)>,
+    running: Vec<u64>,
+    most: usize,
+    away: Nanos,
+    advert: f64,
+    latest: Nanos,
+}
+
+impl Recorder {
+    fn note(&mut self, what: &'static str, inv: u64) {
+        self.results.push((what, inv));
+    }
+
+    fn answered(&mut self, what: &'static str, inv: u64) {
+        self.note(what, inv);
+        self.note("answer", inv);
+        self.latest = self.now;
+    }
+}
+
+impl Host for Recorder {
+    fn run(&mut self, inv: u64) {
+        assert!(!self.running.contains(&inv), "{inv} runs already");
+        self.running.push(inv);
+        self.most = self.most.max(self.running.len());
+        self.note("run", inv);
+    }
+    fn stop(&mut self, inv: u64) {
+        self.note("stop", inv);
+    }
+    fn throttle(&mut self, inv: u64, _no_retry: bool, stay_away: Nanos) {
+        self.away = self.away.max(stay_away);
+        self.answered("throttle", inv);
+    }
+    fn give_up(&mut self, inv: u64) {
+        self.answered("give_up", inv);
+    }
+    fn call(&mut self, inv: u64, _timeout: Nanos) {
+        self.note("call", inv);
+    }
+    fn skip_call(&mut self, inv: u64) {
+        self.note("skip", inv);
+    }
+    fn remember(&mut self, inv: u64, _life: Nanos) {
+        self.note("remember", inv);
+    }
+    fn forget(&mut self, inv: u64) {
+        self.note("forgotten", inv);
+    }
+    fn reuse(&mut self, inv: u64) {
+        self.note("reuse", inv);
+    }
+    fn health(&mut self, good: bool, _stored: bool) {
+        self.note(if good { "healthy" } else { "unhealthy" }, 0);
+    }
+    fn advertise(&mut self, value: f64) {
+        self.advert = value;
+    }
+    fn wake(&mut self, after: Nanos, token: u32) {
+        self.wakes.push((self.now + after, token));
+    }
+    fn log(&mut self, _line: &str) {}
+}
+
+struct Stage {
+    site: Deployment,
+    brain: Option<Brain>,
+    seen: Recorder,
+    busy: f64,
+    operations: BTreeMap<u64, usize>,
+}
+
+fn number(text: &str) -> f64 {
+    text.parse().unwrap_or_else(|_| panic!("not a number: {text}"))
+}
+
+fn fields<'a>(words: &[&'a str]) -> BTreeMap<&'a str, &'a str> {
+    words
+        .iter()
+        .map(|word| word.split_once('=').unwrap_or_else(|| panic!("not NAME=VALUE: {word}")))
+        .collect()
+}
+
+impl Stage {
+    fn new() -> Self {
+        let site = Deployment {
+            operations: Vec::new(),
+            tenant_allowance: Vec::new(),
+            over_share_value: 0.1,
+            peers: 1.0,
+            cores: 4.0,
+            memory_kb: 1e6,
+            run_memory: 10.0,
+            entry_kb: 50.0,
+            halting: Halting::Discards,
+            below: Below::Tier,
+            advert: Advert::Nothing,
+            stay_away_max: 1000 * MS,
+            drain_grace: 1000 * MS,
+            answer_grace: 50 * MS,
+            survivable_crowd: 5.0,
+            crowd_window: 1000 * MS,
+            cold: false,
+            cold_speed: 0.2,
+            cold_for: 10_000 * MS,
+        };
+        Self { site, brain: None, seen: Recorder::default(), busy: 0.5, operations: BTreeMap::new() }
+    }
+
+    fn tune(&mut self, name: &str, value: &str) {
+        let site = &mut self.site;
+        match name {
+            "cores" => site.cores = number(value),
+            "memory_kb" => site.memory_kb = number(value),
+            "run_memory" => site.run_memory = number(value),
+            "entry_kb" => site.entry_kb = number(value),
+            "peers" => site.peers = number(value),
+            "crowd" => site.survivable_crowd = number(value),
+            "cold" => site.cold = value == "yes",
+            "halting" => site.halting = if value == "no" { Halting::Impossible } else { Halting::Discards },
+            "advert" => site.advert = if value == "weight" { Advert::Weight } else { Advert::Floor },
+            "dependency" => {
+                site.below = Below::Shared { share: number(value), span: 5000 * MS, linger: 200 * MS }
+            }
+            other => panic!("unknown site value {other}"),
+        }
+    }
+
+    fn add_operation(&mut self, words: &[&str]) {
+        let given = fields(words);
+        let get = |name: &str, absent: f64| given.get(name).map_or(absent, |text| number(text));
+        self.site.operations.push(Operation {
+            effect: match *given.get("effect").unwrap_or(&"idempotent") {
+                "idempotent" => Effect::Idempotent,
+                "tokened" => Effect::Tokened,
+                "non-idempotent" => Effect::NonIdempotent,
+                other => panic!("unknown effect {other}"),
+            },
+            latency_objective: get("objective", 1000.0) as Nanos * MS,
+            client_timeout: get("timeout", 3000.0) as Nanos * MS,
+            token_window: 5000 * MS,
+            billed_value: get("value", 1.0),
+            late_value: get("late", 0.0),
+            without_call_value: 0.0,
+        });
+    }
+
+    fn wait(&mut self, span: Nanos) {
+        let end = self.seen.now + span;
+        while let Some(next) = self.seen.wakes.iter().copied().filter(|(at, _)| *at <= end).min() {
+            self.seen.wakes.retain(|wake| *wake != next);
+            self.seen.now = next.0;
+            let brain = self.brain.as_mut().expect("started");
+            brain.woken(next.0, next.1, Some(self.busy), &mut self.seen);
+        }
+        self.seen.now = end;
+    }
+
+    fn step(&mut self, words: &[&str]) {
+        let now = self.seen.now;
+        let id = || number(words[1]) as u64;
+        match words[0] {
+            "site" => return self.tune(words[1], words[2]),
+            "operation" => return self.add_operation(&words[1..]),
+            "tenant" => return self.site.tenant_allowance.push(number(words[1])),
+            "start" => {
+                self.brain = Some(Brain::new(self.site.clone(), 7, now, &mut self.seen));
+                return;
+            }
+            "busy" => {
+                self.busy = number(words[1]);
+                return;
+            }
+            "wait" => return self.wait(number(words[1]) as Nanos * MS),
+            "forget" => return self.seen.results.clear(),
+            "expect" => return self.expect(&words[1..]),
+            _ => {}
+        }
+        let brain = self.brain.as_mut().expect("started");
+        match words[0] {
+            "arrive" => {
+                let given = fields(&words[1..]);
+                let get = |name: &str, absent: f64| given.get(name).map_or(absent, |text| number(text));
+                let arrival = Arrival {
+                    id: self.operations.len() as u64 + 1,
+                    operation: get("op", 0.0) as usize,
+                    tenant: get("tenant", 0.0) as usize,
+                    age: get("age", 0.0) as Nanos * MS,
+                    patience: given.get("patience").map(|text| number(text) as Nanos * MS),
+                    repeats: given.get("repeats").map(|text| number(text) as u64),
+                    marked_retry: given.contains_key("retry"),
+                    held_kb: get("kb", 10.0),
+                };
+                self.operations.insert(arrival.id, arrival.operation);
+                brain.arrived(now, arrival, &mut self.seen);
+            }
+            "finish" => {
+                let ending = match words.get(2).copied().unwrap_or("ok") {
+                    "ok" => Ending::Succeeded,
+                    "error" => Ending::Errored,
+                    "cancelled" => Ending::Cancelled,
+                    other => panic!("unknown ending {other}"),
+                };
+                let which: Vec<u64> = match words[1] {
+                    "all" => self.seen.running.clone(),
+                    "first" => self.seen.running.first().copied().into_iter().collect(),
+                    _ => vec![id()],
+                };
+                for id in which {
+                    self.seen.running.retain(|other| *other != id);
+                    if ending != Ending::Cancelled && !self.seen.results.contains(&("answer", id)) {
+                        self.seen.note("answer", id);
+                    }
+                    brain.finished(now, id, ending, &mut self.seen);
+                }
+            }
+            "needs" => brain.needs_call(now, id(), &mut self.seen),
+            "called" => {
+                let ending = match words[2] {
+                    "ok" => Ending::Succeeded,
+                    "error" => Ending::Errored,
+                    "unknown" => Ending::Unknown,
+                    "never_ran" => Ending::NeverRan,
+                    other => panic!("unknown ending {other}"),
+                };
+                brain.call_ended(now, id(), ending, MS, &mut self.seen);
+            }
+            "leave" => brain.told_to_leave(now, number(words[1]) as Nanos * MS, &mut self.seen),
+            "gone" => brain.caller_gone(now, id(), &mut self.seen),
+            other => panic!("unknown step {other}"),
+        }
+    }
+
+    fn expect(&self, words: &[&str]) {
+        let (what, of, compare, wanted) = match words {
+            [what, compare, wanted] => (*what, "", *compare, number(wanted)),
+            [what, of, compare, wanted] => (*what, *of, *compare, number(wanted)),
+            _ => panic!("expect {words:?}"),
+        };
+        let meant = |inv: u64| match of.strip_prefix("op") {
+            Some(operation) => self.operations.get(&inv) == Some(&(number(operation) as usize)),
+            None => of.is_empty() || number(of) as u64 == inv,
+        };
+        let found = match what {
+            "advert" => (self.seen.advert * 100.0).round(),
+            "away" => (self.seen.away / MS) as f64,
+            "latest" => (self.seen.latest / MS) as f64,
+            "most" => self.seen.most as f64,
+            _ => {
+                self.seen.results.iter().filter(|(result, inv)| *result == what && meant(*inv)).count() as f64
+            }
+        };
+        let holds = match compare {
+            "=" => found == wanted,
+            "<" => found < wanted,
+            ">" => found > wanted,
+            other => panic!("unknown comparison {other}"),
+        };
+        assert!(holds, "expected {words:?}, found {found}");
+    }
+
+    fn play(&mut self, lines: &[Vec<&str>]) {
+        let mut i = 0;
+        while i < lines.len() {
+            if lines[i][0] == "repeat" {
+                let end = i + lines[i..].iter().position(|line| line[0] == "end").expect("repeat has an end");
+                for _ in 0..number(lines[i][1]) as usize {
+                    self.play(&lines[i + 1..end]);
+                }
+                i = end;
+            } else {
+                self.step(&lines[i]);
+            }
+            i += 1;
+        }
+    }
+}
+
+#[test_case("answers_by_the_due_time")]
+#[test_case("regulator_steps_and_recovers")]
+#[test_case("ranks_are_cut_in_order")]
+#[test_case("runs_are_capped")]
+#[test_case("drain")]
+#[test_case("tokened_runs_once")]
+#[test_case("non_idempotent_calls")]
+#[test_case("memory")]
+#[test_case("cold_crowd")]
+#[test_case("failing_fast")]
+#[test_case("standing_still")]
+fn scenario(name: &str) {
+    let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
+    let words = |line: &'static str| line.split_whitespace().collect::<Vec<_>>();
+    let text: &'static str = text.leak();
+    let lines: Vec<_> =
+        text.lines().filter(|line| !line.is_empty() && !line.starts_with('#')).map(words).collect();
+    Stage::new().play(&lines);
+}
