--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -18,6 +18,8 @@
 const READINGS: u32 = 2;
 /// Busy share of the cores to steer to.
 const REFERENCE: f64 = 0.9;
+/// Most that work standing in the hold adds to the gauge.
+const OVERHANG_MOST: f64 = 0.15;
 /// Weights of error and running sum, and of refusing premium and basic: the paper's.
 const STATE_WEIGHTS: [f64; 2] = [1.0, 0.1];
 const INPUT_WEIGHTS: [f64; 2] = [0.1, 0.001];
@@ -381,7 +383,7 @@
     fn overhang(&self) -> f64 {
         let held = self.invs.iter().filter(|inv| inv.state == State::Held);
         let work: f64 = held.map(|inv| self.learned[inv.operation].work.mean()).sum();
-        work / (self.limit * PERIOD as f64)
+        (work / (self.limit * PERIOD as f64)).min(OVERHANG_MOST)
     }
 
     fn refusal_ratio(&self, rank: usize) -> f64 {
