--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -40,6 +40,10 @@
 /// Share of memory and of the survivable crowd that is used.
 const MEMORY_SHARE: f64 = 0.85;
 const CROWD_SHARE: f64 = 0.7;
+/// The limit of calls in hand: its growth for each good call while it binds, as a share of the cores, and
+/// its cut for each call that was turned away or lost.
+const CALLS_UP: f64 = 0.1;
+const CALLS_DOWN: f64 = 0.93;
 /// Steps of the running limit a reading, and the slowdown of runs at which it eases back.
 const LIMIT_UP: f64 = 1.15;
 const LIMIT_DOWN: f64 = 0.95;
@@ -114,6 +118,7 @@
     tenants: Vec<(f64, Nanos)>,
     tokens: Vec<Nanos>,
     limit: f64,
+    calls_limit: f64,
     busy: Vec<f64>,
     regulator: Regulator,
     period_start: Nanos,
@@ -176,6 +181,7 @@
             tenants: site.tenant_allowance.iter().map(|each| (each / site.peers, now)).collect(),
             tokens: Vec::new(),
             limit: site.cores,
+            calls_limit: site.cores,
             busy: Vec::new(),
             regulator: Regulator {
                 cut: 0,
@@ -275,11 +281,13 @@
         self.now = now;
         if let Some(i) = self.find(id) {
             if ending == Ending::Succeeded {
+                self.calls_limit += CALLS_UP * self.site.cores / self.calls_limit.max(1.0) * f64::from(self.calls_full());
                 self.enter(i, State::OnCores);
             } else {
                 let inv = &self.invs[i];
                 let op = &self.site.operations[inv.operation];
                 let pause = self.learned[inv.operation].whole.mean() / 4.0;
+                self.calls_limit = (self.calls_limit * CALLS_DOWN).max(1.0);
                 if ending == Ending::NeverRan || op.effect == Effect::Idempotent {
                     self.invs[i].retry_call_at = now + pause as Nanos;
                     self.enter(i, State::AtCall);
@@ -337,7 +345,7 @@
     /// Once a period: from measured utilisation to the refusal ratios of basic and premium.
     fn regulate(&mut self, host: &mut dyn Host) {
         let busy = self.busy.iter().sum::<f64>() / self.busy.len() as f64;
-        let output = busy + self.overhang();
+        let output = busy.max(f64::from(self.calls_full())) + self.overhang();
         let ranks = self.values.len();
         let r = &mut self.regulator;
         let error = output - REFERENCE;
@@ -518,7 +526,7 @@
         let calling = self.invs.iter().filter(|inv| inv.state == State::Calling).count() as f64;
         let room = match self.site.below {
             Below::Shared { share, .. } => (share * CROWD_SHARE).max(1.0),
-            _ => f64::INFINITY,
+            _ => self.calls_limit.max(1.0),
         };
         let ready = |inv: &Inv| inv.state == State::AtCall && !inv.answered && self.now >= inv.retry_call_at;
         let Some(i) = self.invs.iter().position(ready).filter(|_| calling + 1.0 <= room) else {
@@ -526,11 +534,14 @@
         };
         self.enter(i, State::Calling);
         let inv = &self.invs[i];
-        host.call(inv.id, self.last_call_for(inv).saturating_sub(self.now).max(1));
+        host.call(inv.id, self.hopeless_from(inv).min(self.last_call_for(inv)).saturating_sub(self.now).max(1));
         true
     }
 
     fn run_next(&mut self, host: &mut dyn Host) -> bool {
+        if self.calls_full() {
+            return false;
+        }
         let open = self.invs.iter().filter(|inv| !matches!(inv.state, State::Held | State::Reusing)).count();
         if self.running() as f64 + 1.0 > self.limit.min(self.crowd()).max(1.0)
             || open as f64 + 1.0 > self.crowd().max(1.0)
@@ -631,6 +642,12 @@
         self.invs.iter().filter(|inv| inv.state == State::OnCores).count()
     }
 
+    /// What lies below is the scarcer resource now: runs stand at calls that may not be made yet.
+    fn calls_full(&self) -> bool {
+        self.invs.iter().filter(|inv| matches!(inv.state, State::AtCall | State::Calling)).count() as f64
+            > self.calls_limit
+    }
+
     /// Runs that may be open at once, cut while the server may still be cold.
     fn crowd(&self) -> f64 {
         let warmed = (self.now - self.born) as f64 / self.site.cold_for.max(1) as f64;
