--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -395,6 +395,9 @@
     }
 
     fn refusal_ratio(&self, rank: usize) -> f64 {
+        if self.site.called_by_own && !self.is_stalled() {
+            return 0.0;
+        }
         let r = &self.regulator;
         let regular = match rank.cmp(&r.cut) {
             std::cmp::Ordering::Less => 1.0,
--- a/crates/meadowstream/src/lib.rs
+++ b/crates/meadowstream/src/lib.rs
@@ -47,6 +47,8 @@
     pub over_share_value: f64,
     /// Servers of this tier listed at start.
     pub peers: f64,
+    /// Invocations here are calls of a tier above, which has already worked for them.
+    pub called_by_own: bool,
     pub cores: f64,
     pub memory_kb: f64,
     pub run_memory: f64,
