--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -159,6 +159,11 @@
             .collect();
         values.sort_by(f64::total_cmp);
         values.dedup();
+        // Calls carry work already spent above, so in a called tier none is basic until all else failed:
+        // the lowest rank stays empty there.
+        if site.called_by_own {
+            values.insert(0, 0.0);
+        }
         let memory = PERIOD * MEMORY_PERIODS;
         let learned = |guess: f64| Learned {
             work: Decaying::starting_at(memory, now, guess, 1.0),
@@ -372,7 +377,7 @@
         r.ratio = k.map(|row| (row[0] * error + row[1] * r.sum).clamp(0.0, 1.0));
         // The design's gap: what is spared can overload the server by itself. Only when basic has been
         // refused for a whole period and it was not enough do the ranks move up by one.
-        if before >= 1.0 && error > 0.0 && r.cut + 1 < ranks {
+        if before >= 1.0 && output >= 1.0 && r.cut + 1 < ranks {
             r.cut += 1;
             r.sum = 0.0;
             r.ratio = [0.0; 2];
@@ -395,9 +400,6 @@
     }
 
     fn refusal_ratio(&self, rank: usize) -> f64 {
-        if self.site.called_by_own && !self.is_stalled() {
-            return 0.0;
-        }
         let r = &self.regulator;
         let regular = match rank.cmp(&r.cut) {
             std::cmp::Ordering::Less => 1.0,
