--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -478,7 +478,7 @@
         let window = (self.refusal_ratio(self.invs[i].rank) * PERIOD as f64) as Nanos;
         let passed = self.now - self.period_start;
         if passed < window {
-            self.answer(i, window - passed, host);
+            self.answer(i, PERIOD, host);
         }
         true
     }
@@ -518,7 +518,7 @@
                 let victim = order[..=n].iter().min_by_key(|i| {
                     (self.invs[**i].rank, std::cmp::Reverse(self.invs[**i].arrived), std::cmp::Reverse(**i))
                 });
-                let advice = (wait as Nanos).min(PERIOD);
+                let advice = PERIOD;
                 self.answer(*victim.expect("at least one"), advice, host);
                 return true;
             }
