--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -20,6 +20,8 @@
 const REFERENCE: f64 = 0.9;
 /// Most that work standing in the hold adds to the gauge.
 const OVERHANG_MOST: f64 = 0.15;
+/// Share of the shortest latency objective that invocations usually lie unread.
+const UNREAD_USUAL: f64 = 0.1;
 /// Weights of error and running sum, and of refusing premium and basic: the paper's.
 const STATE_WEIGHTS: [f64; 2] = [1.0, 0.1];
 const INPUT_WEIGHTS: [f64; 2] = [0.1, 0.001];
@@ -118,6 +120,7 @@
     tenants: Vec<(f64, Nanos)>,
     tokens: Vec<Nanos>,
     limit: f64,
+    unread_for: Decaying,
     calls_limit: f64,
     busy: Vec<f64>,
     regulator: Regulator,
@@ -186,6 +189,7 @@
             tenants: site.tenant_allowance.iter().map(|each| (each / site.peers, now)).collect(),
             tokens: Vec::new(),
             limit: site.cores,
+            unread_for: Decaying::new(PERIOD / 2, now),
             calls_limit: site.cores,
             busy: Vec::new(),
             regulator: Regulator {
@@ -213,6 +217,7 @@
     pub fn arrived(&mut self, now: Nanos, arrival: Arrival, host: &mut dyn Host) {
         self.now = now;
         let over_share = self.takes_more_than_its_share(arrival.tenant);
+        self.unread_for.add(now, arrival.age as f64);
         let op = &self.site.operations[arrival.operation];
         let reached = now.saturating_sub(arrival.age);
         let waits = arrival.patience.map_or(reached + op.client_timeout, |left| now + left);
@@ -396,7 +401,9 @@
     fn overhang(&self) -> f64 {
         let held = self.invs.iter().filter(|inv| inv.state == State::Held);
         let work: f64 = held.map(|inv| self.learned[inv.operation].work.mean()).sum();
-        (work / (self.limit * PERIOD as f64)).min(OVERHANG_MOST)
+        let objective = self.site.operations.iter().map(|op| op.latency_objective).min().unwrap_or(PERIOD);
+        let unread = self.unread_for.mean() / objective as f64;
+        (work / (self.limit * PERIOD as f64)).min(OVERHANG_MOST) + (unread - UNREAD_USUAL).max(0.0)
     }
 
     fn refusal_ratio(&self, rank: usize) -> f64 {
