Backlog belongs to the running sum; state weights equal

Cause: the gauge ends at 1, so the sum climbed 0.03 a second while the hold and the unread queue grew.

--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -18,12 +18,10 @@
 const READINGS: u32 = 2;
 /// Busy share of the cores to steer to.
 const REFERENCE: f64 = 0.9;
-/// Most that work standing in the hold adds to the gauge.
-const OVERHANG_MOST: f64 = 0.15;
-/// Share of the shortest latency objective that invocations usually lie unread.
+/// Share of the period that invocations usually lie unread.
 const UNREAD_USUAL: f64 = 0.1;
 /// Weights of error and running sum, and of refusing premium and basic: the paper's.
-const STATE_WEIGHTS: [f64; 2] = [1.0, 0.1];
+const STATE_WEIGHTS: [f64; 2] = [1.0, 1.0];
 const INPUT_WEIGHTS: [f64; 2] = [0.1, 0.001];
 const RICCATI_STEPS: usize = 200;
 const RICCATI_TOLERANCE: f64 = 1e-6;
@@ -291,7 +289,8 @@
         self.now = now;
         if let Some(i) = self.find(id) {
             if ending == Ending::Succeeded {
-                self.calls_limit += CALLS_UP * self.site.cores / self.calls_limit.max(1.0) * f64::from(self.calls_full());
+                self.calls_limit +=
+                    CALLS_UP * self.site.cores / self.calls_limit.max(1.0) * f64::from(self.calls_full());
                 self.enter(i, State::OnCores);
             } else {
                 let inv = &self.invs[i];
@@ -355,7 +354,8 @@
     /// Once a period: from measured utilisation to the refusal ratios of basic and premium.
     fn regulate(&mut self, host: &mut dyn Host) {
         let busy = self.busy.iter().sum::<f64>() / self.busy.len() as f64;
-        let output = busy.max(f64::from(self.calls_full())) + self.overhang();
+        let output = busy.max(f64::from(self.calls_full()));
+        let backlog = self.backlog();
         let ranks = self.values.len();
         let r = &mut self.regulator;
         let error = output - REFERENCE;
@@ -379,7 +379,7 @@
         let most = if k[1][1] > 0.0 { 1.0 / k[1][1] } else { 0.0 };
         r.sum = r.sum.clamp(0.0, most);
         let before = r.ratio[1];
-        r.ratio = k.map(|row| (row[0] * error + row[1] * r.sum).clamp(0.0, 1.0));
+        r.ratio = k.map(|row| (row[0] * error + row[1] * (r.sum + backlog)).clamp(0.0, 1.0));
         // The design's gap: what is spared can overload the server by itself. Only when basic has been
         // refused for a whole period and it was not enough do the ranks move up by one.
         if before >= 1.0 && output >= 1.0 && r.cut + 1 < ranks {
@@ -396,14 +396,13 @@
         }
     }
 
-    /// Work that stands in the hold beyond what the cores can take in a period: utilisation that the
-    /// gauge cannot show, since it ends at 1.
-    fn overhang(&self) -> f64 {
+    /// The error that the gauge hid, since it ends at 1: work that stands unread or in the hold, in
+    /// periods of all cores. It belongs to the running sum, and leaves it as soon as the work is gone.
+    fn backlog(&self) -> f64 {
         let held = self.invs.iter().filter(|inv| inv.state == State::Held);
         let work: f64 = held.map(|inv| self.learned[inv.operation].work.mean()).sum();
-        let objective = self.site.operations.iter().map(|op| op.latency_objective).min().unwrap_or(PERIOD);
-        let unread = self.unread_for.mean() / objective as f64;
-        (work / (self.limit * PERIOD as f64)).min(OVERHANG_MOST) + (unread - UNREAD_USUAL).max(0.0)
+        let unread = (self.unread_for.mean() - UNREAD_USUAL * PERIOD as f64).max(0.0);
+        (work / self.limit + unread) / PERIOD as f64
     }
 
     fn refusal_ratio(&self, rank: usize) -> f64 {
@@ -546,7 +545,10 @@
         };
         self.enter(i, State::Calling);
         let inv = &self.invs[i];
-        host.call(inv.id, self.hopeless_from(inv).min(self.last_call_for(inv)).saturating_sub(self.now).max(1));
+        host.call(
+            inv.id,
+            self.hopeless_from(inv).min(self.last_call_for(inv)).saturating_sub(self.now).max(1),
+        );
         true
     }
 
@@ -578,7 +580,7 @@
         let failing =
             self.is_stalled() || (self.failing.weight(self.now) > 2.0 && self.failing.mean() > 2.0 * FAILING);
         let healthy = !gone && !failing;
-        let refused = self.refusal_ratio(self.regulator.cut);
+        let refused = self.refusal_ratio(0);
         let value = match self.site.advert {
             Advert::Nothing => self.advertised,
             Advert::Weight => {
