--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -14,8 +14,8 @@
 use rand_chacha::ChaCha8Rng;
 
 /// The control period, and how often in it the gauge (which looks back half a second) is read.
-const PERIOD: Nanos = 1_000_000_000;
-const READINGS: u32 = 2;
+const PERIOD: Nanos = 500_000_000;
+const READINGS: u32 = 1;
 /// Busy share of the cores to steer to.
 const REFERENCE: f64 = 0.9;
 /// Share of the period that invocations usually lie unread.
@@ -30,7 +30,7 @@
 const FIT_FORGETTING: f64 = 0.97;
 const EXCITED: f64 = 0.5;
 /// Learned times are halved in weight after this many periods.
-const MEMORY_PERIODS: u64 = 8;
+const MEMORY_PERIODS: u64 = 16;
 /// Before anything is learned a run is taken to need this share of its latency objective.
 const FIRST_GUESS: f64 = 0.15;
 /// A run is hopeless when less than this share of its usual time is left.
