--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -470,7 +470,7 @@
         let Some((last, _)) = self.leave else { return false };
         let late = |inv: &Inv| inv.state == State::Held && inv.arrived >= last;
         let Some(i) = self.invs.iter().position(late) else { return false };
-        self.answer(i, self.site.stay_away_max, host);
+        self.answer(i, PERIOD, host);
         true
     }
 
@@ -484,7 +484,7 @@
         let window = (self.refusal_ratio(self.invs[i].rank) * PERIOD as f64) as Nanos;
         let passed = self.now - self.period_start;
         if passed < window {
-            self.answer(i, self.site.stay_away_max, host);
+            self.answer(i, window - passed, host);
         }
         true
     }
@@ -496,7 +496,7 @@
         }
         let held = (0..self.invs.len()).filter(|i| self.invs[*i].state == State::Held);
         let Some(i) = held.min_by_key(|i| (self.invs[*i].rank, std::cmp::Reverse(*i))) else { return false };
-        self.answer(i, self.site.stay_away_max, host);
+        self.answer(i, PERIOD, host);
         true
     }
 
@@ -524,7 +524,7 @@
                 let victim = order[..=n].iter().min_by_key(|i| {
                     (self.invs[**i].rank, std::cmp::Reverse(self.invs[**i].arrived), std::cmp::Reverse(**i))
                 });
-                let advice = self.site.stay_away_max;
+                let advice = PERIOD;
                 self.answer(*victim.expect("at least one"), advice, host);
                 return true;
             }
