Flooded by reading: refuse all ranks with the longest advice

Guards against any cause that makes reading the bottleneck (slow, cold, neighbour, retry storm); harms if a single long pause is taken for it.

--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -18,8 +18,10 @@
 const READINGS: u32 = 1;
 /// Busy share of the cores to steer to.
 const REFERENCE: f64 = 0.9;
-/// Share of the period that invocations usually lie unread.
-const UNREAD_USUAL: f64 = 0.1;
+/// Share of a run's time that invocations usually lie unread, and the share of the shortest latency
+/// objective beyond which reading itself overloads the server.
+const UNREAD_USUAL: f64 = 0.5;
+const FLOODED: f64 = 0.25;
 /// Weights of error and running sum, and of refusing premium and basic: the paper's.
 const STATE_WEIGHTS: [f64; 2] = [1.0, 1.0];
 const INPUT_WEIGHTS: [f64; 2] = [0.1, 0.001];
@@ -401,7 +403,8 @@
     fn backlog(&self) -> f64 {
         let held = self.invs.iter().filter(|inv| inv.state == State::Held);
         let work: f64 = held.map(|inv| self.learned[inv.operation].work.mean()).sum();
-        let unread = (self.unread_for.mean() - UNREAD_USUAL * PERIOD as f64).max(0.0);
+        let usual = self.learned.iter().map(|l| l.work.mean()).fold(0.0, f64::max) * UNREAD_USUAL;
+        let unread = (self.unread_for.mean() - usual).max(0.0);
         (work / self.limit + unread) / PERIOD as f64
     }
 
@@ -413,7 +416,7 @@
             std::cmp::Ordering::Greater if rank == r.cut + 1 => r.ratio[0],
             std::cmp::Ordering::Greater => 0.0,
         };
-        if self.is_stalled() {
+        if self.is_stalled() || self.is_flooded() {
             return 1.0;
         }
         let failing = if self.failing.weight(self.now) > 2.0 { self.failing.mean() } else { 0.0 };
@@ -484,7 +487,8 @@
         let window = (self.refusal_ratio(self.invs[i].rank) * PERIOD as f64) as Nanos;
         let passed = self.now - self.period_start;
         if passed < window {
-            self.answer(i, window - passed, host);
+            let advice = if self.is_flooded() { self.site.stay_away_max } else { window - passed };
+            self.answer(i, advice, host);
         }
         true
     }
@@ -700,6 +704,12 @@
         }
     }
 
+    /// Reading alone overloads the server: only callers that stay away can help it.
+    fn is_flooded(&self) -> bool {
+        let objective = self.site.operations.iter().map(|op| op.latency_objective).min().unwrap_or(PERIOD);
+        self.unread_for.weight(self.now) > 1.0 && self.unread_for.mean() > FLOODED * objective as f64
+    }
+
     fn is_stalled(&self) -> bool {
         let usual = self.learned.iter().map(|l| l.work.mean()).fold(0.0, f64::max);
         let oldest = self.invs.iter().filter(|inv| inv.state == State::OnCores).map(|inv| inv.since).min();
