--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -13,9 +13,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// The control period, and how often in it the gauge (which looks back half a second) is read.
+/// The control period: the span that the gauge looks back over.
 const PERIOD: Nanos = 500_000_000;
-const READINGS: u32 = 1;
 /// Busy share of the cores to steer to.
 const REFERENCE: f64 = 0.9;
 /// Share of a run's time that invocations usually lie unread, and the share of the shortest latency
@@ -39,6 +38,8 @@
 const LEAST_CHANCE: f64 = 0.6;
 /// Share of the latency objective kept for the way back to the client.
 const WAY_BACK: f64 = 0.02;
+/// The weight told to callers starts to fall when less than 1/SPARE of the cores is free.
+const SPARE: f64 = 1.0;
 /// Share of memory and of the survivable crowd that is used.
 const MEMORY_SHARE: f64 = 0.85;
 const CROWD_SHARE: f64 = 0.7;
@@ -122,7 +123,6 @@
     limit: f64,
     unread_for: Decaying,
     calls_limit: f64,
-    busy: Vec<f64>,
     regulator: Regulator,
     period_start: Nanos,
     last_progress: Nanos,
@@ -175,7 +175,7 @@
         };
         let prior = Plant { a: 0.0, b: [-REFERENCE; 2] };
         let mut chance = ChaCha8Rng::seed_from_u64(seed);
-        let offset = chance.random_range(0..PERIOD / Nanos::from(READINGS));
+        let offset = chance.random_range(0..PERIOD);
         host.wake(offset, TICK);
         Self {
             now,
@@ -191,7 +191,6 @@
             limit: site.cores,
             unread_for: Decaying::new(PERIOD / 2, now),
             calls_limit: site.cores,
-            busy: Vec::new(),
             regulator: Regulator {
                 cut: 0,
                 sum: 0.0,
@@ -332,14 +331,11 @@
     pub fn woken(&mut self, now: Nanos, token: u32, busy: Option<f64>, host: &mut dyn Host) {
         self.now = now;
         if token == TICK {
-            host.wake(PERIOD / Nanos::from(READINGS), TICK);
-            self.busy.push(busy.unwrap_or(self.running() as f64 / self.site.cores).min(1.0));
-            self.learn_limit(*self.busy.last().expect("just pushed"));
-            if self.busy.len() == READINGS as usize {
-                self.regulate(host);
-                self.busy.clear();
-                self.period_start = now;
-            }
+            host.wake(PERIOD, TICK);
+            let busy = busy.unwrap_or(self.running() as f64 / self.site.cores).min(1.0);
+            self.learn_limit(busy);
+            self.regulate(busy, host);
+            self.period_start = now;
         } else if now >= self.alarm_at {
             self.alarm_at = Nanos::MAX;
         }
@@ -354,8 +350,7 @@
     // ---- The regulator ----
 
     /// Once a period: from measured utilisation to the refusal ratios of basic and premium.
-    fn regulate(&mut self, host: &mut dyn Host) {
-        let busy = self.busy.iter().sum::<f64>() / self.busy.len() as f64;
+    fn regulate(&mut self, busy: f64, host: &mut dyn Host) {
         let output = busy.max(f64::from(self.calls_full()));
         let backlog = self.backlog();
         let ranks = self.values.len();
@@ -591,7 +586,7 @@
                 if gone {
                     0.0
                 } else {
-                    1.0 - refused
+                    (1.0 - refused).min((1.0 - self.regulator.output) * SPARE).max(0.0)
                 }
             }
             Advert::Floor => {
