--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -38,8 +38,6 @@
 const LEAST_CHANCE: f64 = 0.6;
 /// Share of the latency objective kept for the way back to the client.
 const WAY_BACK: f64 = 0.02;
-/// The weight told to callers starts to fall when less than 1/SPARE of the cores is free.
-const SPARE: f64 = 1.0;
 /// Share of memory and of the survivable crowd that is used.
 const MEMORY_SHARE: f64 = 0.85;
 const CROWD_SHARE: f64 = 0.7;
@@ -586,7 +584,7 @@
                 if gone {
                     0.0
                 } else {
-                    (1.0 - refused).min((1.0 - self.regulator.output) * SPARE).max(0.0)
+                    1.0 - refused
                 }
             }
             Advert::Floor => {
