--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -728,7 +728,7 @@
         let inv = &mut self.invs[i];
         let effect = self.site.operations[inv.operation].effect;
         if effect == Effect::Idempotent || (!inv.ran && inv.repeats.is_none()) {
-            host.throttle(inv.id, late, stay_away.min(self.site.stay_away_max));
+            host.throttle(inv.id, true, stay_away.min(self.site.stay_away_max));
         } else {
             host.give_up(inv.id);
         }
