--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -38,6 +38,8 @@
 const LEAST_CHANCE: f64 = 0.6;
 /// Share of the latency objective kept for the way back to the client.
 const WAY_BACK: f64 = 0.02;
+/// Refusal ratio of basic up to which a throttled invocation may be tried elsewhere.
+const WALK: f64 = 0.3;
 /// Share of memory and of the survivable crowd that is used.
 const MEMORY_SHARE: f64 = 0.85;
 const CROWD_SHARE: f64 = 0.7;
@@ -725,10 +727,11 @@
     /// The one final answer: throttled where nothing was done or nothing can happen twice, else errored.
     fn answer(&mut self, i: usize, stay_away: Nanos, host: &mut dyn Host) {
         let late = self.now >= self.hopeless_from(&self.invs[i]);
+        let last = late || self.regulator.cut > 0 || self.regulator.ratio[1] > WALK;
         let inv = &mut self.invs[i];
         let effect = self.site.operations[inv.operation].effect;
         if effect == Effect::Idempotent || (!inv.ran && inv.repeats.is_none()) {
-            host.throttle(inv.id, true, stay_away.min(self.site.stay_away_max));
+            host.throttle(inv.id, last, stay_away.min(self.site.stay_away_max));
         } else {
             host.give_up(inv.id);
         }
