--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -430,12 +430,11 @@
 
     fn watch_for_jam(&mut self) {
         let rate = self.arrivals.per_second(self.now);
-        if self.now - self.born < JAM_PERIODS / 2 * PERIOD {
-            return;
-        }
         if self.regulator.ratio[1] <= 0.0 && self.regulator.cut == 0 {
-            self.calm_rate.add(self.now, rate);
-        } else if self.calm_rate.weight(self.now) > 0.0 && rate > JAM * self.calm_rate.mean() {
+            if self.now - self.born > JAM_PERIODS / 2 * PERIOD {
+                self.calm_rate.add(self.now, rate);
+            }
+        } else if self.calm_rate.weight(self.now) < 8.0 || rate > JAM * self.calm_rate.mean() {
             self.jammed_until = self.now + JAM_PERIODS * PERIOD;
         }
     }
