--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -38,10 +38,8 @@
 const LEAST_CHANCE: f64 = 0.6;
 /// Share of the latency objective kept for the way back to the client.
 const WAY_BACK: f64 = 0.02;
-/// Throttled invocations walk on from server to server: arrivals at so many times the calm rate while
-/// refusing show that no server has room. Then none is sent on for some periods.
-const JAM: f64 = 1.3;
-const JAM_PERIODS: u64 = 16;
+/// Refusal ratio of basic up to which a throttled invocation may be tried elsewhere.
+const WALK: f64 = 0.3;
 /// Share of memory and of the survivable crowd that is used.
 const MEMORY_SHARE: f64 = 0.85;
 const CROWD_SHARE: f64 = 0.7;
@@ -81,6 +79,7 @@
     wanted: Nanos,
     held_kb: f64,
     repeats: Option<u64>,
+    marked_retry: bool,
     state: State,
     since: Nanos,
     begun: Nanos,
@@ -123,9 +122,6 @@
     tenants: Vec<(f64, Nanos)>,
     tokens: Vec<Nanos>,
     limit: f64,
-    arrivals: Decaying,
-    calm_rate: Decaying,
-    jammed_until: Nanos,
     unread_for: Decaying,
     calls_limit: f64,
     regulator: Regulator,
@@ -194,9 +190,6 @@
             tenants: site.tenant_allowance.iter().map(|each| (each / site.peers, now)).collect(),
             tokens: Vec::new(),
             limit: site.cores,
-            arrivals: Decaying::new(PERIOD * 2, now),
-            calm_rate: Decaying::new(memory * 2, now),
-            jammed_until: 0,
             unread_for: Decaying::new(PERIOD / 2, now),
             calls_limit: site.cores,
             regulator: Regulator {
@@ -224,7 +217,6 @@
     pub fn arrived(&mut self, now: Nanos, arrival: Arrival, host: &mut dyn Host) {
         self.now = now;
         let over_share = self.takes_more_than_its_share(arrival.tenant);
-        self.arrivals.add(now, 1.0);
         self.unread_for.add(now, arrival.age as f64);
         let op = &self.site.operations[arrival.operation];
         let reached = now.saturating_sub(arrival.age);
@@ -248,6 +240,7 @@
             wanted: wanted.min(waits),
             held_kb: arrival.held_kb,
             repeats: arrival.repeats,
+            marked_retry: arrival.marked_retry,
             state: State::Held,
             since: now,
             begun: now,
@@ -345,7 +338,6 @@
             self.learn_limit(busy);
             self.regulate(busy, host);
             self.period_start = now;
-            self.watch_for_jam();
         } else if now >= self.alarm_at {
             self.alarm_at = Nanos::MAX;
         }
@@ -428,17 +420,6 @@
         if failing > FAILING { regular.max(failing.min(0.9)) } else { regular }
     }
 
-    fn watch_for_jam(&mut self) {
-        let rate = self.arrivals.per_second(self.now);
-        if self.regulator.ratio[1] <= 0.0 && self.regulator.cut == 0 {
-            if self.now - self.born > JAM_PERIODS / 2 * PERIOD {
-                self.calm_rate.add(self.now, rate);
-            }
-        } else if self.calm_rate.weight(self.now) < 8.0 || rate > JAM * self.calm_rate.mean() {
-            self.jammed_until = self.now + JAM_PERIODS * PERIOD;
-        }
-    }
-
     /// The learned running limit: from the core count up to what the server survives.
     fn learn_limit(&mut self, busy: f64) {
         let waiting = self.invs.iter().any(|inv| inv.state == State::Held);
@@ -748,7 +729,9 @@
     /// The one final answer: throttled where nothing was done or nothing can happen twice, else errored.
     fn answer(&mut self, i: usize, stay_away: Nanos, host: &mut dyn Host) {
         let late = self.now >= self.hopeless_from(&self.invs[i]);
-        let last = late || self.now < self.jammed_until;
+        let again = self.site.retries_marked && self.invs[i].marked_retry;
+        let pressed = self.regulator.cut > 0 || self.regulator.ratio[1] > WALK;
+        let last = late || again || (pressed && !self.site.retries_marked);
         let inv = &mut self.invs[i];
         let effect = self.site.operations[inv.operation].effect;
         if effect == Effect::Idempotent || (!inv.ran && inv.repeats.is_none()) {
--- a/crates/meadowstream/src/lib.rs
+++ b/crates/meadowstream/src/lib.rs
@@ -57,6 +57,8 @@
     pub below: Below,
     pub advert: Advert,
     pub stay_away_max: Nanos,
+    /// Whether further tries and copies come marked.
+    pub retries_marked: bool,
     pub drain_grace: Nanos,
     pub answer_grace: Nanos,
     pub survivable_crowd: f64,
--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -120,6 +120,7 @@
             below: Below::Tier,
             advert: Advert::Nothing,
             stay_away_max: 1000 * MS,
+            retries_marked: false,
             drain_grace: 1000 * MS,
             answer_grace: 50 * MS,
             survivable_crowd: 5.0,
--- a/crates/simhost/src/settings.rs
+++ b/crates/simhost/src/settings.rs
@@ -127,6 +127,7 @@
         below,
         advert: pairs.choice("family-info.say", &adverts)?,
         stay_away_max: if advised { pairs.span("limits.max-retry-after")? } else { 0 },
+        retries_marked: pairs.get_or("clients.marks-retry", false)?,
         drain_grace: pairs.span("contract.drain-grace")?,
         answer_grace: pairs.span("contract.grace-to-answer")?,
         survivable_crowd: pairs.number("contract.fall-multiple")?,
