--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -47,6 +47,8 @@
 /// its cut for each call that was turned away or lost.
 const CALLS_UP: f64 = 0.1;
 const CALLS_DOWN: f64 = 0.93;
+/// A call that may be repeated is given up after this many usual call times, twice as many each time.
+const CALL_PATIENCE: f64 = 2.0;
 /// Steps of the running limit a reading, and the slowdown of runs at which it eases back.
 const LIMIT_UP: f64 = 1.15;
 const LIMIT_DOWN: f64 = 0.95;
@@ -85,6 +87,7 @@
     begun: Nanos,
     on_cores: Nanos,
     retry_call_at: Nanos,
+    calls: u32,
     ran: bool,
     answered: bool,
     stopped: bool,
@@ -124,6 +127,7 @@
     limit: f64,
     unread_for: Decaying,
     calls_limit: f64,
+    call_time: Decaying,
     regulator: Regulator,
     period_start: Nanos,
     last_progress: Nanos,
@@ -192,6 +196,7 @@
             limit: site.cores,
             unread_for: Decaying::new(PERIOD / 2, now),
             calls_limit: site.cores,
+            call_time: Decaying::new(memory, now),
             regulator: Regulator {
                 cut: 0,
                 sum: 0.0,
@@ -246,6 +251,7 @@
             begun: now,
             on_cores: 0,
             retry_call_at: 0,
+            calls: 0,
             ran: false,
             answered: false,
             stopped: false,
@@ -288,18 +294,22 @@
         self.decide(host);
     }
 
-    pub fn call_ended(&mut self, now: Nanos, id: u64, ending: Ending, _took: Nanos, host: &mut dyn Host) {
+    pub fn call_ended(&mut self, now: Nanos, id: u64, ending: Ending, took: Nanos, host: &mut dyn Host) {
         self.now = now;
         if let Some(i) = self.find(id) {
             if ending == Ending::Succeeded {
+                self.call_time.add(now, took as f64);
                 self.calls_limit +=
                     CALLS_UP * self.site.cores / self.calls_limit.max(1.0) * f64::from(self.calls_full());
                 self.enter(i, State::OnCores);
             } else {
                 let inv = &self.invs[i];
                 let op = &self.site.operations[inv.operation];
-                let pause = self.learned[inv.operation].whole.mean() / 4.0;
-                self.calls_limit = (self.calls_limit * CALLS_DOWN).max(1.0);
+                let turned_away = ending == Ending::NeverRan;
+                let pause = if turned_away { self.learned[inv.operation].whole.mean() / 4.0 } else { 0.0 };
+                if turned_away {
+                    self.calls_limit = (self.calls_limit * CALLS_DOWN).max(1.0);
+                }
                 if ending == Ending::NeverRan || op.effect == Effect::Idempotent {
                     self.invs[i].retry_call_at = now + pause as Nanos;
                     self.enter(i, State::AtCall);
@@ -545,11 +555,12 @@
             return false;
         };
         self.enter(i, State::Calling);
+        self.invs[i].calls += 1;
         let inv = &self.invs[i];
-        host.call(
-            inv.id,
-            self.hopeless_from(inv).min(self.last_call_for(inv)).saturating_sub(self.now).max(1),
-        );
+        let left = self.hopeless_from(inv).min(self.last_call_for(inv)).saturating_sub(self.now).max(1);
+        let again = self.site.operations[inv.operation].effect == Effect::Idempotent;
+        let patience = self.call_time.mean() * CALL_PATIENCE * f64::from(1 << inv.calls.min(8));
+        host.call(inv.id, if again && patience > 0.0 { left.min(patience as Nanos) } else { left });
         true
     }
 
