--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -423,7 +423,7 @@
             std::cmp::Ordering::Greater if rank == r.cut + 1 => r.ratio[0],
             std::cmp::Ordering::Greater => 0.0,
         };
-        if self.is_stalled() || self.is_flooded() {
+        if self.is_stalled() || (self.is_flooded() && rank + 1 < self.values.len()) {
             return 1.0;
         }
         let failing = if self.failing.weight(self.now) > 2.0 { self.failing.mean() } else { 0.0 };
