--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -40,6 +40,8 @@
 const WAY_BACK: f64 = 0.02;
 /// Refusal ratio of basic up to which a throttled invocation may be tried elsewhere.
 const WALK: f64 = 0.3;
+/// Seconds of its share that a tenant may send at once before it counts as over it.
+const SHARE_SECONDS: f64 = 5.0;
 /// Share of memory and of the survivable crowd that is used.
 const MEMORY_SHARE: f64 = 0.85;
 const CROWD_SHARE: f64 = 0.7;
@@ -728,7 +730,7 @@
         let Some((room, at)) = self.tenants.get_mut(tenant) else { return false };
         let rate = self.site.tenant_allowance[tenant] / self.site.peers;
         let seconds = (self.now - *at) as f64 / 1e9;
-        *room = (*room + rate * seconds).min(rate.max(1.0));
+        *room = (*room + rate * seconds).min((rate * SHARE_SECONDS).max(1.0));
         *at = self.now;
         if *room < 1.0 {
             return true;
