Fold the due rules, mend token, discard, cold and shared-dependency guards

Found on reading: a token without memory for it could have run unkept; the cold crowd was taken to warm a little too fast; a dependency share under one call was not kept.

--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -63,8 +63,9 @@
 const TICK: u32 = 0;
 const ALARM: u32 = 1;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
+    #[default]
     Held,
     OnCores,
     AtCall,
@@ -72,7 +73,7 @@
     Reusing,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Inv {
     id: u64,
     operation: usize,
@@ -125,11 +126,12 @@
     values: Vec<f64>,
     learned: Vec<Learned>,
     tenants: Vec<(f64, Nanos)>,
-    tokens: Vec<Nanos>,
+    tokens: Vec<(u64, Nanos)>,
     limit: f64,
     unread_for: Decaying,
     calls_limit: f64,
     call_time: Decaying,
+    rest_below_until: Nanos,
     regulator: Regulator,
     period_start: Nanos,
     last_progress: Nanos,
@@ -145,7 +147,6 @@
 /// Gone through in this order after every input, until none fires.
 const RULES: &[Rule] = &[
     Brain::answer_what_is_due,
-    Brain::answer_what_comes_too_late,
     Brain::stop_what_nobody_wants,
     Brain::refuse_while_leaving,
     Brain::refuse_in_the_window,
@@ -199,6 +200,7 @@
             unread_for: Decaying::new(PERIOD / 2, now),
             calls_limit: site.cores,
             call_time: Decaying::new(memory, now),
+            rest_below_until: 0,
             regulator: Regulator {
                 cut: 0,
                 sum: 0.0,
@@ -230,13 +232,10 @@
         let waits = arrival.patience.map_or(reached + op.client_timeout, |left| now + left);
         let wanted = reached + (op.latency_objective as f64 * (1.0 - WAY_BACK)) as Nanos;
         let value = op.billed_value * if over_share { self.site.over_share_value } else { 1.0 };
-        let tokened = op.effect == Effect::Tokened;
-        if tokened && arrival.repeats.is_none() {
-            let life = op.token_window;
-            if self.memory_needed() + self.site.entry_kb <= self.site.memory_kb * MEMORY_SHARE {
-                host.remember(arrival.id, life);
-                self.tokens.push(now + life);
-            }
+        // Kept while held already: a repeat that is read meanwhile must be known as one.
+        if op.effect == Effect::Tokened && arrival.repeats.is_none() {
+            host.remember(arrival.id, op.token_window);
+            self.tokens.push((arrival.id, now + op.token_window));
         }
         self.invs.push(Inv {
             id: arrival.id,
@@ -248,16 +247,8 @@
             held_kb: arrival.held_kb,
             repeats: arrival.repeats,
             marked_retry: arrival.marked_retry,
-            state: State::Held,
             since: now,
-            begun: now,
-            on_cores: 0,
-            retry_call_at: 0,
-            calls: 0,
-            ran: false,
-            answered: false,
-            stopped: false,
-            judged: false,
+            ..Inv::default()
         });
         self.decide(host);
     }
@@ -280,8 +271,11 @@
             if ended || inv.answered {
                 self.invs.remove(i);
             } else {
-                // Stopped before it was answered: its work is lost, and it is held again.
+                // Stopped unasked: its work is lost. It may run again only where that does no harm.
                 self.invs[i].state = State::Held;
+                if inv.ran && self.site.operations[inv.operation].effect != Effect::Idempotent {
+                    self.answer(i, 0, host);
+                }
             }
         }
         self.decide(host);
@@ -298,6 +292,11 @@
 
     pub fn call_ended(&mut self, now: Nanos, id: u64, ending: Ending, took: Nanos, host: &mut dyn Host) {
         self.now = now;
+        if let Below::Shared { share, linger, .. } = self.site.below {
+            // Rule 4 where the share is under one call: rest, so that the mean in its hands stays below it.
+            let rest = (took + linger) as f64 * (1.0 / (share * CROWD_SHARE) - 1.0).max(0.0);
+            self.rest_below_until = now + rest as Nanos;
+        }
         if let Some(i) = self.find(id) {
             if ending == Ending::Succeeded {
                 self.call_time.add(now, took as f64);
@@ -312,11 +311,10 @@
                 if turned_away {
                     self.calls_limit = (self.calls_limit * CALLS_DOWN).max(1.0);
                 }
-                if ending == Ending::NeverRan || op.effect == Effect::Idempotent {
-                    self.invs[i].retry_call_at = now + pause as Nanos;
-                    self.enter(i, State::AtCall);
-                } else {
-                    self.enter(i, State::AtCall);
+                let again = turned_away || op.effect == Effect::Idempotent;
+                self.invs[i].retry_call_at = now + pause as Nanos;
+                self.enter(i, State::AtCall);
+                if !again {
                     self.answer(i, 0, host);
                 }
             }
@@ -346,7 +344,7 @@
         self.now = now;
         if token == TICK {
             host.wake(PERIOD, TICK);
-            let busy = busy.unwrap_or(self.running() as f64 / self.site.cores).min(1.0);
+            let busy = busy.unwrap_or(self.running() / self.site.cores).min(1.0);
             self.learn_limit(busy);
             self.regulate(busy, host);
             self.period_start = now;
@@ -357,7 +355,7 @@
     }
 
     fn decide(&mut self, host: &mut dyn Host) {
-        self.tokens.retain(|end| *end > self.now);
+        self.tokens.retain(|(_, end)| *end > self.now);
         while RULES.iter().any(|rule| rule(self, host)) {}
     }
 
@@ -428,8 +426,12 @@
         if self.is_stalled() || (self.is_flooded() && rank + 1 < self.values.len()) {
             return 1.0;
         }
-        let failing = if self.failing.weight(self.now) > 2.0 { self.failing.mean() } else { 0.0 };
-        if failing > FAILING { regular.max(failing.min(0.9)) } else { regular }
+        if self.failing() > FAILING { regular.max(self.failing().min(0.9)) } else { regular }
+    }
+
+    /// Share of runs that fail by themselves. They leave the cores idle, so that the gauge is blind to them.
+    fn failing(&self) -> f64 {
+        if self.failing.weight(self.now) > 2.0 { self.failing.mean() } else { 0.0 }
     }
 
     /// The learned running limit: from the core count up to what the server survives.
@@ -446,20 +448,10 @@
 
     // ---- Rules ----
 
-    /// Rule 1: everything read is answered by its due time, even if its work still runs.
+    /// Rule 1: everything read is answered by its due time, even if its work still runs; and as soon as
+    /// an answer in time is out of reach, since later it earns nothing.
     fn answer_what_is_due(&mut self, host: &mut dyn Host) -> bool {
-        let Some(i) = self.invs.iter().position(|inv| !inv.answered && self.now >= self.last_call_for(inv))
-        else {
-            return false;
-        };
-        self.answer(i, 0, host);
-        true
-    }
-
-    /// Past the latency objective, or sure to be, nothing is earned (or too little to wait for).
-    fn answer_what_comes_too_late(&mut self, host: &mut dyn Host) -> bool {
-        let Some(i) = self.invs.iter().position(|inv| !inv.answered && self.now >= self.hopeless_from(inv))
-        else {
+        let Some(i) = self.first(|inv| !inv.answered && self.now >= self.last_call_for(inv)) else {
             return false;
         };
         self.answer(i, 0, host);
@@ -471,7 +463,7 @@
             return false;
         }
         let unwanted = |inv: &Inv| inv.answered && !inv.stopped && inv.state == State::OnCores;
-        let Some(i) = self.invs.iter().position(unwanted) else { return false };
+        let Some(i) = self.first(unwanted) else { return false };
         self.invs[i].stopped = true;
         host.stop(self.invs[i].id);
         true
@@ -480,15 +472,15 @@
     /// Rule 3: what arrives later than the grace after the notice is not run.
     fn refuse_while_leaving(&mut self, host: &mut dyn Host) -> bool {
         let Some((last, _)) = self.leave else { return false };
-        let late = |inv: &Inv| inv.state == State::Held && inv.arrived >= last;
-        let Some(i) = self.invs.iter().position(late) else { return false };
+        let late = |inv: &Inv| inv.state == State::Held && inv.arrived > last;
+        let Some(i) = self.first(late) else { return false };
         self.answer(i, PERIOD, host);
         true
     }
 
     /// The design's actuator: arrivals in the first rtr of the period are refused, by rank.
     fn refuse_in_the_window(&mut self, host: &mut dyn Host) -> bool {
-        let Some(i) = self.invs.iter().position(|inv| !inv.judged) else { return false };
+        let Some(i) = self.first(|inv| !inv.judged) else { return false };
         self.invs[i].judged = true;
         if self.invs[i].repeats.is_some() {
             return true;
@@ -516,7 +508,7 @@
     /// Rule 2: a repeat of what was kept is answered from its forerunner, not run.
     fn reuse_for_repeats(&mut self, host: &mut dyn Host) -> bool {
         let repeat = |inv: &Inv| inv.state == State::Held && inv.repeats.is_some();
-        let Some(i) = self.invs.iter().position(repeat) else { return false };
+        let Some(i) = self.first(repeat) else { return false };
         self.enter(i, State::Reusing);
         host.reuse(self.invs[i].id);
         true
@@ -526,7 +518,7 @@
     /// (of equals the newest) of those up to it is refused, so that the rest can be in time.
     fn refuse_what_cannot_be_done_in_time(&mut self, host: &mut dyn Host) -> bool {
         let order = self.hold_in_order();
-        let free = (self.limit - self.running() as f64).floor().max(0.0) as usize;
+        let free = (self.limit - self.running()).floor().max(0.0) as usize;
         let mut ahead = 0.0;
         for (n, i) in order.iter().enumerate() {
             let inv = &self.invs[*i];
@@ -537,8 +529,7 @@
                 let victim = order[..=n].iter().min_by_key(|i| {
                     (self.invs[**i].rank, std::cmp::Reverse(self.invs[**i].arrived), std::cmp::Reverse(**i))
                 });
-                let advice = PERIOD;
-                self.answer(*victim.expect("at least one"), advice, host);
+                self.answer(*victim.expect("at least one"), PERIOD, host);
                 return true;
             }
         }
@@ -547,19 +538,19 @@
 
     /// Work already spent is worth finishing: calls are made while the answer is wanted.
     fn make_calls(&mut self, host: &mut dyn Host) -> bool {
-        let calling = self.invs.iter().filter(|inv| inv.state == State::Calling).count() as f64;
         let room = match self.site.below {
             Below::Shared { share, .. } => (share * CROWD_SHARE).max(1.0),
             _ => self.calls_limit.max(1.0),
         };
-        let ready = |inv: &Inv| inv.state == State::AtCall && !inv.answered && self.now >= inv.retry_call_at;
-        let Some(i) = self.invs.iter().position(ready).filter(|_| calling + 1.0 <= room) else {
+        if self.count(&[State::Calling]) + 1.0 > room || self.now < self.rest_below_until {
             return false;
-        };
+        }
+        let ready = |inv: &Inv| inv.state == State::AtCall && !inv.answered && self.now >= inv.retry_call_at;
+        let Some(i) = self.first(ready) else { return false };
         self.enter(i, State::Calling);
         self.invs[i].calls += 1;
         let inv = &self.invs[i];
-        let left = self.hopeless_from(inv).min(self.last_call_for(inv)).saturating_sub(self.now).max(1);
+        let left = self.last_call_for(inv).saturating_sub(self.now).max(1);
         let again = self.site.operations[inv.operation].effect == Effect::Idempotent;
         let patience = self.call_time.mean() * CALL_PATIENCE * f64::from(1 << inv.calls.min(8));
         host.call(inv.id, if again && patience > 0.0 { left.min(patience as Nanos) } else { left });
@@ -570,9 +561,8 @@
         if self.calls_full() {
             return false;
         }
-        let open = self.invs.iter().filter(|inv| !matches!(inv.state, State::Held | State::Reusing)).count();
-        if self.running() as f64 + 1.0 > self.limit.min(self.crowd()).max(1.0)
-            || open as f64 + 1.0 > self.crowd().max(1.0)
+        let open = self.count(&[State::OnCores, State::AtCall, State::Calling]);
+        if self.running() + 1.0 > self.limit.min(self.crowd()).max(1.0) || open + 1.0 > self.crowd().max(1.0)
         {
             return false;
         }
@@ -590,34 +580,13 @@
     }
 
     fn tell_callers(&mut self, host: &mut dyn Host) -> bool {
-        let gone = self.leave.is_some();
-        let failing =
-            self.is_stalled() || (self.failing.weight(self.now) > 2.0 && self.failing.mean() > 2.0 * FAILING);
-        let healthy = !gone && !failing;
-        let refused = self.refusal_ratio(0);
+        let here = f64::from(self.leave.is_none());
+        let healthy = self.leave.is_none() && !self.is_stalled() && self.failing() <= 2.0 * FAILING;
         let value = match self.site.advert {
             Advert::Nothing => self.advertised,
-            Advert::Weight => {
-                if gone {
-                    0.0
-                } else {
-                    1.0 - refused
-                }
-            }
-            Advert::Floor => {
-                if gone {
-                    1.0
-                } else {
-                    0.0
-                }
-            }
-            Advert::Allowance => {
-                if gone {
-                    0.0
-                } else {
-                    self.limit
-                }
-            }
+            Advert::Weight => (1.0 - self.refusal_ratio(0)) * here,
+            Advert::Floor => 1.0 - here,
+            Advert::Allowance => self.limit * here,
         };
         if healthy == self.healthy && (value.is_nan() || value == self.advertised) {
             return false;
@@ -638,7 +607,7 @@
         let next = self.invs.iter().filter(|inv| !inv.answered).map(|inv| {
             let call = if inv.state == State::AtCall { inv.retry_call_at } else { Nanos::MAX };
             let call = if call > self.now { call } else { Nanos::MAX };
-            self.last_call_for(inv).min(self.hopeless_from(inv)).min(call)
+            self.last_call_for(inv).min(call)
         });
         let Some(next) = next.min().filter(|next| *next < self.alarm_at) else { return false };
         self.alarm_at = next;
@@ -648,8 +617,16 @@
 
     // ---- Helpers ----
 
+    fn first(&self, which: impl FnMut(&Inv) -> bool) -> Option<usize> {
+        self.invs.iter().position(which)
+    }
+
     fn find(&self, id: u64) -> Option<usize> {
-        self.invs.iter().position(|inv| inv.id == id)
+        self.first(|inv| inv.id == id)
+    }
+
+    fn count(&self, states: &[State]) -> f64 {
+        self.invs.iter().filter(|inv| states.contains(&inv.state)).count() as f64
     }
 
     fn enter(&mut self, i: usize, state: State) {
@@ -666,20 +643,23 @@
         self.enter(i, state);
     }
 
-    fn running(&self) -> usize {
-        self.invs.iter().filter(|inv| inv.state == State::OnCores).count()
+    fn running(&self) -> f64 {
+        self.count(&[State::OnCores])
     }
 
     /// What lies below is the scarcer resource now: runs stand at calls that may not be made yet.
     fn calls_full(&self) -> bool {
-        self.invs.iter().filter(|inv| matches!(inv.state, State::AtCall | State::Calling)).count() as f64
-            > self.calls_limit
+        self.count(&[State::AtCall, State::Calling]) > self.calls_limit
     }
 
     /// Runs that may be open at once, cut while the server may still be cold.
     fn crowd(&self) -> f64 {
         let warmed = (self.now - self.born) as f64 / self.site.cold_for.max(1) as f64;
-        let speed = if self.site.cold { (self.site.cold_speed + warmed).min(1.0) } else { 1.0 };
+        let speed = if self.site.cold {
+            (self.site.cold_speed + (1.0 - self.site.cold_speed) * warmed).min(1.0)
+        } else {
+            1.0
+        };
         self.site.cores * (1.0 + (self.site.survivable_crowd - 1.0) * speed) * CROWD_SHARE
     }
 
@@ -701,7 +681,7 @@
 
     fn last_call_for(&self, inv: &Inv) -> Nanos {
         let stop = self.leave.map_or(Nanos::MAX, |(_, stop)| stop.saturating_sub(2 * self.site.answer_grace));
-        inv.due.min(stop)
+        inv.due.min(stop).min(self.hopeless_from(inv))
     }
 
     fn hopeless_from(&self, inv: &Inv) -> Nanos {
@@ -741,7 +721,7 @@
 
     /// The one final answer: throttled where nothing was done or nothing can happen twice, else errored.
     fn answer(&mut self, i: usize, stay_away: Nanos, host: &mut dyn Host) {
-        let late = self.now >= self.hopeless_from(&self.invs[i]);
+        let late = self.now >= self.last_call_for(&self.invs[i]);
         let again = self.site.retries_marked && self.invs[i].marked_retry;
         let pressed = self.regulator.cut > 0 || self.regulator.ratio[1] > WALK;
         let last = late || again || (pressed && !self.site.retries_marked);
@@ -754,6 +734,7 @@
         }
         if effect == Effect::Tokened && !inv.ran && inv.repeats.is_none() {
             host.forget(inv.id);
+            self.tokens.retain(|(id, _)| *id != inv.id);
         }
         inv.answered = true;
         if matches!(inv.state, State::Held | State::Reusing) {
