--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -49,6 +49,7 @@
 /// its cut for each call that was turned away or lost.
 const CALLS_UP: f64 = 0.1;
 const CALLS_DOWN: f64 = 0.93;
+const CALLS_SLOW: f64 = 2.0;
 /// A call that may be repeated is given up after this many usual call times, twice as many each time.
 const CALL_PATIENCE: f64 = 1.5;
 /// Steps of the running limit a reading, and the slowdown of runs at which it eases back.
@@ -131,6 +132,7 @@
     unread_for: Decaying,
     calls_limit: f64,
     call_time: Decaying,
+    call_base: f64,
     rest_below_until: Nanos,
     regulator: Regulator,
     period_start: Nanos,
@@ -200,6 +202,7 @@
             unread_for: Decaying::new(PERIOD / 2, now),
             calls_limit: site.cores,
             call_time: Decaying::new(memory, now),
+            call_base: f64::INFINITY,
             rest_below_until: 0,
             regulator: Regulator {
                 cut: 0,
@@ -300,15 +303,16 @@
         if let Some(i) = self.find(id) {
             if ending == Ending::Succeeded {
                 self.call_time.add(now, took as f64);
-                self.calls_limit +=
-                    CALLS_UP * self.site.cores / self.calls_limit.max(1.0) * f64::from(self.calls_full());
+                self.call_base = (self.call_base * 1.005).min(self.call_time.mean());
+                let grows = self.calls_full() && !self.calls_are_slow();
+                self.calls_limit += CALLS_UP * self.site.cores / self.calls_limit.max(1.0) * f64::from(grows);
                 self.enter(i, State::OnCores);
             } else {
                 let inv = &self.invs[i];
                 let op = &self.site.operations[inv.operation];
                 let turned_away = ending == Ending::NeverRan;
                 let pause = if turned_away { self.learned[inv.operation].whole.mean() / 4.0 } else { 0.0 };
-                if turned_away {
+                if turned_away || self.calls_are_slow() {
                     self.calls_limit = (self.calls_limit * CALLS_DOWN).max(1.0);
                 }
                 let again = turned_away || op.effect == Effect::Idempotent;
@@ -647,6 +651,11 @@
         self.count(&[State::OnCores])
     }
 
+    /// Good calls take far longer than they could: what lies below is overloaded, not just partly silent.
+    fn calls_are_slow(&self) -> bool {
+        self.call_time.mean() > self.call_base * CALLS_SLOW
+    }
+
     /// What lies below is the scarcer resource now: runs stand at calls that may not be made yet.
     fn calls_full(&self) -> bool {
         self.count(&[State::AtCall, State::Calling]) > self.calls_limit
