--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -395,7 +395,7 @@
         r.ratio = k.map(|row| (row[0] * error + row[1] * (r.sum + backlog)).clamp(0.0, 1.0));
         // The design's gap: what is spared can overload the server by itself. Only when basic has been
         // refused for a whole period and it was not enough do the ranks move up by one.
-        if before >= 1.0 && output >= 1.0 && r.cut + 1 < ranks {
+        if before >= 1.0 && output + backlog >= 1.25 && r.cut + 1 < ranks {
             r.cut += 1;
             r.sum = 0.0;
             r.ratio = [0.0; 2];
