--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -49,7 +49,6 @@
 /// its cut for each call that was turned away or lost.
 const CALLS_UP: f64 = 0.1;
 const CALLS_DOWN: f64 = 0.93;
-const CALLS_SLOW: f64 = 2.0;
 /// A call that may be repeated is given up after this many usual call times, twice as many each time.
 const CALL_PATIENCE: f64 = 1.5;
 /// Steps of the running limit a reading, and the slowdown of runs at which it eases back.
@@ -132,7 +131,6 @@
     unread_for: Decaying,
     calls_limit: f64,
     call_time: Decaying,
-    call_base: f64,
     rest_below_until: Nanos,
     regulator: Regulator,
     period_start: Nanos,
@@ -202,7 +200,6 @@
             unread_for: Decaying::new(PERIOD / 2, now),
             calls_limit: site.cores,
             call_time: Decaying::new(memory, now),
-            call_base: f64::INFINITY,
             rest_below_until: 0,
             regulator: Regulator {
                 cut: 0,
@@ -303,16 +300,15 @@
         if let Some(i) = self.find(id) {
             if ending == Ending::Succeeded {
                 self.call_time.add(now, took as f64);
-                self.call_base = (self.call_base * 1.005).min(self.call_time.mean());
-                let grows = self.calls_full() && !self.calls_are_slow();
-                self.calls_limit += CALLS_UP * self.site.cores / self.calls_limit.max(1.0) * f64::from(grows);
+                self.calls_limit +=
+                    CALLS_UP * self.site.cores / self.calls_limit.max(1.0) * f64::from(self.calls_full());
                 self.enter(i, State::OnCores);
             } else {
                 let inv = &self.invs[i];
                 let op = &self.site.operations[inv.operation];
                 let turned_away = ending == Ending::NeverRan;
                 let pause = if turned_away { self.learned[inv.operation].whole.mean() / 4.0 } else { 0.0 };
-                if turned_away || self.calls_are_slow() {
+                if turned_away {
                     self.calls_limit = (self.calls_limit * CALLS_DOWN).max(1.0);
                 }
                 let again = turned_away || op.effect == Effect::Idempotent;
@@ -395,7 +391,7 @@
         r.ratio = k.map(|row| (row[0] * error + row[1] * (r.sum + backlog)).clamp(0.0, 1.0));
         // The design's gap: what is spared can overload the server by itself. Only when basic has been
         // refused for a whole period and it was not enough do the ranks move up by one.
-        if before >= 1.0 && output + backlog >= 1.25 && r.cut + 1 < ranks {
+        if before >= 1.0 && output >= 1.0 && r.cut + 1 < ranks {
             r.cut += 1;
             r.sum = 0.0;
             r.ratio = [0.0; 2];
@@ -415,7 +411,7 @@
         let held = self.invs.iter().filter(|inv| inv.state == State::Held);
         let work: f64 = held.map(|inv| self.learned[inv.operation].work.mean()).sum();
         let usual = self.learned.iter().map(|l| l.work.mean()).fold(0.0, f64::max) * UNREAD_USUAL;
-        let unread = (self.unread_for.mean() - usual).max(0.0);
+        let unread = (self.unread() - usual).max(0.0);
         (work / self.limit + unread) / PERIOD as f64
     }
 
@@ -651,11 +647,6 @@
         self.count(&[State::OnCores])
     }
 
-    /// Good calls take far longer than they could: what lies below is overloaded, not just partly silent.
-    fn calls_are_slow(&self) -> bool {
-        self.call_time.mean() > self.call_base * CALLS_SLOW
-    }
-
     /// What lies below is the scarcer resource now: runs stand at calls that may not be made yet.
     fn calls_full(&self) -> bool {
         self.count(&[State::AtCall, State::Calling]) > self.calls_limit
@@ -703,10 +694,15 @@
         }
     }
 
+    /// How long invocations lie unread of late; it fades when none come.
+    fn unread(&self) -> f64 {
+        self.unread_for.mean() * self.unread_for.weight(self.now).min(1.0)
+    }
+
     /// Reading alone overloads the server: only callers that stay away can help it.
     fn is_flooded(&self) -> bool {
         let objective = self.site.operations.iter().map(|op| op.latency_objective).min().unwrap_or(PERIOD);
-        self.unread_for.weight(self.now) > 1.0 && self.unread_for.mean() > FLOODED * objective as f64
+        self.unread() > FLOODED * objective as f64
     }
 
     fn is_stalled(&self) -> bool {
