--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -9,7 +9,7 @@
 
 use crate::decay::Decaying;
 use crate::lq::{self, Fit, Plant};
-use crate::{Advert, Arrival, Below, Deployment, Effect, Ending, Halting, Host, Nanos};
+use crate::{Advert, Arrival, Below, Deployment, Effect, Ending, Gauges, Halting, Host, Nanos};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -51,6 +51,8 @@
 const CALLS_DOWN: f64 = 0.93;
 /// A call that may be repeated is given up after this many usual call times, twice as many each time.
 const CALL_PATIENCE: f64 = 1.5;
+/// Reading takes its place under the running limit, up to this share of the cores.
+const READING_SHARE: f64 = 0.5;
 /// Steps of the running limit a reading, and the slowdown of runs at which it eases back.
 const LIMIT_UP: f64 = 1.15;
 const LIMIT_DOWN: f64 = 0.95;
@@ -129,6 +131,7 @@
     tokens: Vec<(u64, Nanos)>,
     limit: f64,
     unread_for: Decaying,
+    reading: Decaying,
     calls_limit: f64,
     call_time: Decaying,
     rest_below_until: Nanos,
@@ -198,6 +201,7 @@
             tokens: Vec::new(),
             limit: site.cores,
             unread_for: Decaying::new(PERIOD / 2, now),
+            reading: Decaying::new(PERIOD * 2, now),
             calls_limit: site.cores,
             call_time: Decaying::new(memory, now),
             rest_below_until: 0,
@@ -340,11 +344,13 @@
         self.decide(host);
     }
 
-    pub fn woken(&mut self, now: Nanos, token: u32, busy: Option<f64>, host: &mut dyn Host) {
+    pub fn woken(&mut self, now: Nanos, token: u32, gauges: Gauges, host: &mut dyn Host) {
         self.now = now;
         if token == TICK {
             host.wake(PERIOD, TICK);
-            let busy = busy.unwrap_or(self.running() / self.site.cores).min(1.0);
+            let reading = gauges.wanting.unwrap_or(0.0) - self.running();
+            self.reading.add(now, reading.clamp(0.0, self.site.cores));
+            let busy = gauges.busy.unwrap_or(self.running() / self.site.cores).min(1.0);
             self.learn_limit(busy);
             self.regulate(busy, host);
             self.period_start = now;
@@ -562,7 +568,9 @@
             return false;
         }
         let open = self.count(&[State::OnCores, State::AtCall, State::Calling]);
-        if self.running() + 1.0 > self.limit.min(self.crowd()).max(1.0) || open + 1.0 > self.crowd().max(1.0)
+        let reading = self.reading.mean().min(self.site.cores * READING_SHARE);
+        if self.running() + 1.0 > (self.limit - reading).min(self.crowd()).max(1.0)
+            || open + 1.0 > self.crowd().max(1.0)
         {
             return false;
         }
--- a/crates/meadowstream/src/lib.rs
+++ b/crates/meadowstream/src/lib.rs
@@ -138,6 +138,15 @@
     pub held_kb: f64,
 }
 
+/// What the server measures of itself, where it does.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Gauges {
+    /// Busy share of the cores over the last half second.
+    pub busy: Option<f64>,
+    /// All that wants a core now: runs, reading, checks.
+    pub wanting: Option<f64>,
+}
+
 /// How a run or a call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -10,7 +10,7 @@
 //!   (its last value in hundredths), away (longest advice in ms), latest (ms of the last answer), most (runs open at once).
 
 use meadowstream::{
-    Advert, Arrival, Below, Deployment, Effect, Ending, Halting, Host, Nanos, Operation, brain::Brain,
+    Advert, Arrival, Below, Deployment, Effect, Ending, Gauges, Halting, Host, Nanos, Operation, brain::Brain,
 };
 use std::collections::BTreeMap;
 use test_case::test_case;
@@ -176,7 +176,8 @@
             self.seen.wakes.retain(|wake| *wake != next);
             self.seen.now = next.0;
             let brain = self.brain.as_mut().expect("started");
-            brain.woken(next.0, next.1, Some(self.busy), &mut self.seen);
+            let gauges = Gauges { busy: Some(self.busy), wanting: None };
+            brain.woken(next.0, next.1, gauges, &mut self.seen);
         }
         self.seen.now = end;
     }
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -6,12 +6,13 @@
 
 use anyhow::{Context, Result, bail, ensure};
 use codec::{Batch, Event, Reply};
-use meadowstream::{Arrival, brain::Brain};
+use meadowstream::{Arrival, Gauges, brain::Brain};
 use std::io::{Read, Write};
 
 struct Life {
     brain: Brain,
     busy_gauge: Option<usize>,
+    wanting_gauge: Option<usize>,
     operations: usize,
     tenants: usize,
 }
@@ -34,7 +35,13 @@
             if self.lives.len() <= slot {
                 self.lives.resize_with(slot + 1, || None);
             }
-            self.lives[slot] = Some(Life { brain, busy_gauge: read.busy_gauge, operations, tenants });
+            self.lives[slot] = Some(Life {
+                brain,
+                busy_gauge: read.busy_gauge,
+                wanting_gauge: read.wanting_gauge,
+                operations,
+                tenants,
+            });
             return Ok(());
         }
         let life = self.lives.get_mut(slot).and_then(Option::as_mut);
@@ -58,11 +65,11 @@
                 if gauges > 4 {
                     bail!("{gauges} gauges where 4 fit");
                 }
-                let busy = match life.busy_gauge {
-                    Some(i) if i < gauges => Some(event.number(6 + 4 * i)?),
-                    _ => None,
+                let gauge = |place: Option<usize>| {
+                    place.filter(|i| *i < gauges).map(|i| event.number(6 + 4 * i)).transpose()
                 };
-                brain.woken(now, event.u32(1), busy, reply);
+                let gauges = Gauges { busy: gauge(life.busy_gauge)?, wanting: gauge(life.wanting_gauge)? };
+                brain.woken(now, event.u32(1), gauges, reply);
             }
             90 => self.lives[slot] = None,
             _ => bail!("unknown event code {code}"),
--- a/crates/simhost/src/settings.rs
+++ b/crates/simhost/src/settings.rs
@@ -49,10 +49,11 @@
     }
 }
 
-/// Where among the gauges the core utilisation stands.
+/// A deployment, and where among the gauges those stand that the module reads.
 pub struct Read {
     pub deployment: Deployment,
     pub busy_gauge: Option<usize>,
+    pub wanting_gauge: Option<usize>,
 }
 
 pub fn read(config: &str) -> Result<Read> {
@@ -136,6 +137,7 @@
         cold_speed: pairs.number("contract.cold-from")?,
         cold_for: pairs.span("contract.cold")?,
     };
-    let busy_gauge = pairs.list("family-info.own-stats").iter().position(|name| *name == "cpu_busy");
-    Ok(Read { deployment, busy_gauge })
+    let gauges = pairs.list("family-info.own-stats");
+    let place = |name: &str| gauges.iter().position(|gauge| *gauge == name);
+    Ok(Read { deployment, busy_gauge: place("cpu_busy"), wanting_gauge: place("runnable") })
 }
