--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -568,7 +568,11 @@
             return false;
         }
         let open = self.count(&[State::OnCores, State::AtCall, State::Calling]);
-        let reading = self.reading.mean().min(self.site.cores * READING_SHARE);
+        let reading = if self.site.called_by_own {
+            0.0
+        } else {
+            self.reading.mean().min(self.site.cores * READING_SHARE)
+        };
         if self.running() + 1.0 > (self.limit - reading).min(self.crowd()).max(1.0)
             || open + 1.0 > self.crowd().max(1.0)
         {
