--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -596,7 +596,7 @@
         let healthy = self.leave.is_none() && !self.is_stalled() && self.failing() <= 2.0 * FAILING;
         let value = match self.site.advert {
             Advert::Nothing => self.advertised,
-            Advert::Weight => (1.0 - self.refusal_ratio(0)) * here,
+            Advert::Weight => (1.0 - self.refusal_ratio(0)) * self.warmth() * here,
             Advert::Floor => 1.0 - here,
             Advert::Allowance => self.limit * here,
         };
@@ -664,15 +664,19 @@
         self.count(&[State::AtCall, State::Calling]) > self.calls_limit
     }
 
-    /// Runs that may be open at once, cut while the server may still be cold.
-    fn crowd(&self) -> f64 {
+    /// Share of its speed that a server which started cold has reached at the least.
+    fn warmth(&self) -> f64 {
         let warmed = (self.now - self.born) as f64 / self.site.cold_for.max(1) as f64;
-        let speed = if self.site.cold {
+        if self.site.cold {
             (self.site.cold_speed + (1.0 - self.site.cold_speed) * warmed).min(1.0)
         } else {
             1.0
-        };
-        self.site.cores * (1.0 + (self.site.survivable_crowd - 1.0) * speed) * CROWD_SHARE
+        }
+    }
+
+    /// Runs that may be open at once, cut while the server may still be cold.
+    fn crowd(&self) -> f64 {
+        self.site.cores * (1.0 + (self.site.survivable_crowd - 1.0) * self.warmth()) * CROWD_SHARE
     }
 
     fn memory_needed(&self) -> f64 {
