--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -50,7 +50,7 @@
 const CALLS_UP: f64 = 0.1;
 const CALLS_DOWN: f64 = 0.93;
 /// A call that may be repeated is given up after this many usual call times, twice as many each time.
-const CALL_PATIENCE: f64 = 3.0;
+const CALL_PATIENCE: f64 = 2.0;
 /// Reading takes its place under the running limit, up to this share of the cores.
 const READING_SHARE: f64 = 0.25;
 /// Steps of the running limit a reading, and the slowdown of runs at which it eases back.
