--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -2,12 +2,13 @@
 //!
 //! - before `start`: `site NAME VALUE` changes the deployment, `operation NAME=VALUE ...` adds one,
 //!   `tenant PER_SECOND` adds one.
-//! - `busy X` sets the gauge; `wait MS` lets time pass, timers included; `repeat N` ... `end`.
+//! - `busy X` and `wanting X` set the gauges; `wait MS` lets time pass, timers included; `repeat N` ... `end`.
 //! - `arrive NAME=VALUE ...` (ids count from 1), `finish ID|all|first [ok|error|cancelled]`,
-//!   `needs ID`, `called ID ok|error|unknown|never_ran`, `leave MS`, `gone ID`.
+//!   `needs ID`, `called ID ok|error|unknown|never_ran [MS]`, `leave MS`, `gone ID`.
 //! - `expect WHAT [opN|ID] = | < | > NUMBER` counts results since `start` or the last `forget`.
 //!   WHAT is run, throttle, give_up, answer, stop, call, remember, forgotten, reuse, unhealthy, advert
-//!   (its last value in hundredths), away (longest advice in ms), latest (ms of the last answer), most (runs open at once).
+//!   (its last value in hundredths), away (longest advice in ms), last (throttled ones that are not to be tried
+//!   elsewhere), patience (ms of the last call's time-out), most (runs open at once).
 
 use meadowstream::{
     Advert, Arrival, Below, Deployment, Effect, Ending, Gauges, Halting, Host, Nanos, Operation, brain::Brain,
@@ -26,7 +27,7 @@
     most: usize,
     away: Nanos,
     advert: f64,
-    latest: Nanos,
+    patience: Nanos,
 }
 
 impl Recorder {
@@ -37,7 +38,6 @@
     fn answered(&mut self, what: &'static str, inv: u64) {
         self.note(what, inv);
         self.note("answer", inv);
-        self.latest = self.now;
     }
 }
 
@@ -51,14 +51,18 @@
     fn stop(&mut self, inv: u64) {
         self.note("stop", inv);
     }
-    fn throttle(&mut self, inv: u64, _no_retry: bool, stay_away: Nanos) {
+    fn throttle(&mut self, inv: u64, no_retry: bool, stay_away: Nanos) {
+        if no_retry {
+            self.note("last", inv);
+        }
         self.away = self.away.max(stay_away);
         self.answered("throttle", inv);
     }
     fn give_up(&mut self, inv: u64) {
         self.answered("give_up", inv);
     }
-    fn call(&mut self, inv: u64, _timeout: Nanos) {
+    fn call(&mut self, inv: u64, timeout: Nanos) {
+        self.patience = timeout;
         self.note("call", inv);
     }
     fn skip_call(&mut self, inv: u64) {
@@ -90,6 +94,7 @@
     brain: Option<Brain>,
     seen: Recorder,
     busy: f64,
+    wanting: f64,
     operations: BTreeMap<u64, usize>,
 }
 
@@ -129,7 +134,14 @@
             cold_speed: 0.2,
             cold_for: 10_000 * MS,
         };
-        Self { site, brain: None, seen: Recorder::default(), busy: 0.5, operations: BTreeMap::new() }
+        Self {
+            site,
+            brain: None,
+            seen: Recorder::default(),
+            busy: 0.5,
+            wanting: 0.0,
+            operations: BTreeMap::new(),
+        }
     }
 
     fn tune(&mut self, name: &str, value: &str) {
@@ -142,6 +154,8 @@
             "peers" => site.peers = number(value),
             "crowd" => site.survivable_crowd = number(value),
             "cold" => site.cold = value == "yes",
+            "called" => site.called_by_own = value == "yes",
+            "marks" => site.retries_marked = value == "yes",
             "halting" => site.halting = if value == "no" { Halting::Impossible } else { Halting::Discards },
             "advert" => site.advert = if value == "weight" { Advert::Weight } else { Advert::Floor },
             "dependency" => {
@@ -176,7 +190,7 @@
             self.seen.wakes.retain(|wake| *wake != next);
             self.seen.now = next.0;
             let brain = self.brain.as_mut().expect("started");
-            let gauges = Gauges { busy: Some(self.busy), wanting: None };
+            let gauges = Gauges { busy: Some(self.busy), wanting: Some(self.wanting) };
             brain.woken(next.0, next.1, gauges, &mut self.seen);
         }
         self.seen.now = end;
@@ -197,6 +211,10 @@
                 self.busy = number(words[1]);
                 return;
             }
+            "wanting" => {
+                self.wanting = number(words[1]);
+                return;
+            }
             "wait" => return self.wait(number(words[1]) as Nanos * MS),
             "forget" => return self.seen.results.clear(),
             "expect" => return self.expect(&words[1..]),
@@ -249,7 +267,8 @@
                     "never_ran" => Ending::NeverRan,
                     other => panic!("unknown ending {other}"),
                 };
-                brain.call_ended(now, id(), ending, MS, &mut self.seen);
+                let took = words.get(3).map_or(MS, |ms| number(ms) as Nanos * MS);
+                brain.call_ended(now, id(), ending, took, &mut self.seen);
             }
             "leave" => brain.told_to_leave(now, number(words[1]) as Nanos * MS, &mut self.seen),
             "gone" => brain.caller_gone(now, id(), &mut self.seen),
@@ -270,7 +289,7 @@
         let found = match what {
             "advert" => (self.seen.advert * 100.0).round(),
             "away" => (self.seen.away / MS) as f64,
-            "latest" => (self.seen.latest / MS) as f64,
+            "patience" => (self.seen.patience / MS) as f64,
             "most" => self.seen.most as f64,
             _ => {
                 self.seen.results.iter().filter(|(result, inv)| *result == what && meant(*inv)).count() as f64
@@ -313,6 +332,16 @@
 #[test_case("cold_crowd")]
 #[test_case("failing_fast")]
 #[test_case("standing_still")]
+#[test_case("backlog_raises_rtr")]
+#[test_case("flooded_by_reading")]
+#[test_case("walks_end")]
+#[test_case("silent_below")]
+#[test_case("called_tier_refuses_last")]
+#[test_case("tenant_over_its_share")]
+#[test_case("cold_weight")]
+#[test_case("top_rank_alone_overloads")]
+#[test_case("reading_under_the_limit")]
+#[test_case("shared_dependency")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
