--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -9,9 +9,10 @@
 
 use crate::decay::Decaying;
 use crate::lq::{self, Fit, Plant};
-use crate::{Advert, Arrival, Below, Deployment, Effect, Ending, Gauges, Halting, Host, Nanos};
+use crate::{Advert, Arrival, Below, Deployment, Effect, Ending, Gauges, Halting, Host, Nanos, Operation};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::cmp::{Ordering, Reverse};
 
 /// The control period: the span that the gauge looks back over.
 const PERIOD: Nanos = 500_000_000;
@@ -21,7 +22,7 @@
 /// objective beyond which reading itself overloads the server.
 const UNREAD_USUAL: f64 = 0.5;
 const FLOODED: f64 = 0.25;
-/// Weights of error and running sum, and of refusing premium and basic: the paper's.
+/// Weights of error and running sum, and of refusing premium and basic (the paper's).
 const STATE_WEIGHTS: [f64; 2] = [1.0, 1.0];
 const INPUT_WEIGHTS: [f64; 2] = [0.1, 0.001];
 const RICCATI_STEPS: usize = 200;
@@ -46,19 +47,27 @@
 const MEMORY_SHARE: f64 = 0.85;
 const CROWD_SHARE: f64 = 0.7;
 /// The limit of calls in hand: its growth for each good call while it binds, as a share of the cores, and
-/// its cut for each call that was turned away or lost.
+/// its cut for each call that was turned away.
 const CALLS_UP: f64 = 0.1;
 const CALLS_DOWN: f64 = 0.93;
 /// A call that may be repeated is given up after this many usual call times, twice as many each time.
 const CALL_PATIENCE: f64 = 2.0;
 /// Reading takes its place under the running limit, up to this share of the cores.
 const READING_SHARE: f64 = 0.25;
+/// A call that was turned away is made again after this share of a run's usual time.
+const CALL_PAUSE: f64 = 0.25;
 /// Steps of the running limit a reading, and the slowdown of runs at which it eases back.
 const LIMIT_UP: f64 = 1.15;
 const LIMIT_DOWN: f64 = 0.95;
 const SLOWED: f64 = 1.3;
-/// Share of runs that fail, without overload, from which a server keeps arrivals away.
+/// Growth of the learned base for each run, so that it follows a lasting change.
+const BASE_DRIFT: f64 = 1.005;
+/// Share of runs that fail by themselves: from which arrivals are kept away, most of them kept away (some
+/// must show whether it is over), from which checks hear bad; and runs of late that must have been seen.
 const FAILING: f64 = 0.25;
+const FAILING_MOST: f64 = 0.9;
+const UNHEALTHY: f64 = 0.5;
+const SEEN_FAILING: f64 = 2.0;
 /// Nothing moved on the cores for this many usual run times: they stand still.
 const STALLED: f64 = 6.0;
 
@@ -145,7 +154,8 @@
     healthy: bool,
 }
 
-type Rule = fn(&mut Brain, &mut dyn Host) -> bool;
+/// A condition and an effect; `None` where the condition does not hold.
+type Rule = fn(&mut Brain, &mut dyn Host) -> Option<()>;
 
 /// Gone through in this order after every input, until none fires.
 const RULES: &[Rule] = &[
@@ -164,13 +174,9 @@
 
 impl Brain {
     pub fn new(site: Deployment, seed: u64, now: Nanos, host: &mut dyn Host) -> Self {
-        let shares: &[f64] =
-            if site.tenant_allowance.is_empty() { &[1.0] } else { &[site.over_share_value, 1.0] };
-        let mut values: Vec<f64> = site
-            .operations
-            .iter()
-            .flat_map(|op| shares.iter().map(|share| op.billed_value * share))
-            .collect();
+        let over_share = if site.tenant_allowance.is_empty() { 1.0 } else { site.over_share_value };
+        let billed = site.operations.iter().map(|op| op.billed_value);
+        let mut values: Vec<f64> = billed.flat_map(|value| [value * over_share, value]).collect();
         values.sort_by(f64::total_cmp);
         values.dedup();
         // Calls carry work already spent above, so in a called tier none is basic until all else failed:
@@ -179,24 +185,20 @@
             values.insert(0, 0.0);
         }
         let memory = PERIOD * MEMORY_PERIODS;
-        let learned = |guess: f64| Learned {
-            work: Decaying::starting_at(memory, now, guess, 1.0),
-            whole: Decaying::starting_at(memory, now, guess, 1.0),
-            base: f64::INFINITY,
+        let learned = |op: &Operation| {
+            let guess = op.latency_objective as f64 * FIRST_GUESS;
+            let time = Decaying::starting_at(memory, now, guess, 1.0);
+            Learned { work: time.clone(), whole: time, base: f64::INFINITY }
         };
         let prior = Plant { a: 0.0, b: [-REFERENCE; 2] };
+        let fit = Fit::new(&prior, FIT_DOUBT, FIT_FORGETTING);
         let mut chance = ChaCha8Rng::seed_from_u64(seed);
-        let offset = chance.random_range(0..PERIOD);
-        host.wake(offset, TICK);
+        host.wake(chance.random_range(0..PERIOD), TICK);
         Self {
             now,
             born: now,
             invs: Vec::new(),
-            learned: site
-                .operations
-                .iter()
-                .map(|op| learned(op.latency_objective as f64 * FIRST_GUESS))
-                .collect(),
+            learned: site.operations.iter().map(learned).collect(),
             tenants: site.tenant_allowance.iter().map(|each| (each / site.peers, now)).collect(),
             tokens: Vec::new(),
             limit: site.cores,
@@ -205,14 +207,7 @@
             calls_limit: site.cores,
             call_time: Decaying::new(memory, now),
             rest_below_until: 0,
-            regulator: Regulator {
-                cut: 0,
-                sum: 0.0,
-                ratio: [0.0; 2],
-                output: 0.0,
-                fit: Fit::new(&prior, FIT_DOUBT, FIT_FORGETTING),
-                varied: 0.0,
-            },
+            regulator: Regulator { cut: 0, sum: 0.0, ratio: [0.0; 2], output: 0.0, fit, varied: 0.0 },
             period_start: now,
             last_progress: now,
             failing: Decaying::new(memory / 4, now),
@@ -263,14 +258,14 @@
             self.progress(i);
             let inv = self.invs[i].clone();
             let ended = matches!(ending, Ending::Succeeded | Ending::Errored);
+            if ended && inv.state != State::Reusing {
+                self.failing.add(now, f64::from(ending == Ending::Errored));
+            }
             if ending == Ending::Succeeded && inv.state != State::Reusing {
                 let learned = &mut self.learned[inv.operation];
                 learned.work.add(now, inv.on_cores as f64);
                 learned.whole.add(now, (now - inv.begun) as f64);
-                learned.base = (learned.base * 1.005).min(learned.work.mean());
-            }
-            if ended && inv.state != State::Reusing {
-                self.failing.add(now, f64::from(ending == Ending::Errored));
+                learned.base = (learned.base * BASE_DRIFT).min(learned.work.mean());
             }
             if ended || inv.answered {
                 self.invs.remove(i);
@@ -308,17 +303,13 @@
                     CALLS_UP * self.site.cores / self.calls_limit.max(1.0) * f64::from(self.calls_full());
                 self.enter(i, State::OnCores);
             } else {
-                let inv = &self.invs[i];
-                let op = &self.site.operations[inv.operation];
-                let turned_away = ending == Ending::NeverRan;
-                let pause = if turned_away { self.learned[inv.operation].whole.mean() / 4.0 } else { 0.0 };
-                if turned_away {
-                    self.calls_limit = (self.calls_limit * CALLS_DOWN).max(1.0);
-                }
-                let again = turned_away || op.effect == Effect::Idempotent;
-                self.invs[i].retry_call_at = now + pause as Nanos;
+                let operation = self.invs[i].operation;
                 self.enter(i, State::AtCall);
-                if !again {
+                if ending == Ending::NeverRan {
+                    self.calls_limit = (self.calls_limit * CALLS_DOWN).max(1.0);
+                    let pause = self.learned[operation].whole.mean() * CALL_PAUSE;
+                    self.invs[i].retry_call_at = now + pause as Nanos;
+                } else if self.site.operations[operation].effect != Effect::Idempotent {
                     self.answer(i, 0, host);
                 }
             }
@@ -348,9 +339,10 @@
         self.now = now;
         if token == TICK {
             host.wake(PERIOD, TICK);
-            let reading = gauges.wanting.unwrap_or(0.0) - self.running();
+            let running = self.running();
+            let reading = gauges.wanting.unwrap_or(0.0) - running;
             self.reading.add(now, reading.clamp(0.0, self.site.cores));
-            let busy = gauges.busy.unwrap_or(self.running() / self.site.cores).min(1.0);
+            let busy = gauges.busy.unwrap_or(running / self.site.cores).min(1.0);
             self.learn_limit(busy);
             self.regulate(busy, host);
             self.period_start = now;
@@ -362,7 +354,7 @@
 
     fn decide(&mut self, host: &mut dyn Host) {
         self.tokens.retain(|(_, end)| *end > self.now);
-        while RULES.iter().any(|rule| rule(self, host)) {}
+        while RULES.iter().any(|rule| rule(self, host).is_some()) {}
     }
 
     // ---- The regulator ----
@@ -424,20 +416,20 @@
     fn refusal_ratio(&self, rank: usize) -> f64 {
         let r = &self.regulator;
         let regular = match rank.cmp(&r.cut) {
-            std::cmp::Ordering::Less => 1.0,
-            std::cmp::Ordering::Equal => r.ratio[1],
-            std::cmp::Ordering::Greater if rank == r.cut + 1 => r.ratio[0],
-            std::cmp::Ordering::Greater => 0.0,
+            Ordering::Less => 1.0,
+            Ordering::Equal => r.ratio[1],
+            Ordering::Greater if rank == r.cut + 1 => r.ratio[0],
+            Ordering::Greater => 0.0,
         };
         if self.is_stalled() || (self.is_flooded() && rank + 1 < self.values.len()) {
             return 1.0;
         }
-        if self.failing() > FAILING { regular.max(self.failing().min(0.9)) } else { regular }
+        if self.failing() > FAILING { regular.max(self.failing().min(FAILING_MOST)) } else { regular }
     }
 
     /// Share of runs that fail by themselves. They leave the cores idle, so that the gauge is blind to them.
     fn failing(&self) -> f64 {
-        if self.failing.weight(self.now) > 2.0 { self.failing.mean() } else { 0.0 }
+        if self.failing.weight(self.now) > SEEN_FAILING { self.failing.mean() } else { 0.0 }
     }
 
     /// The learned running limit: from the core count up to what the server survives.
@@ -456,40 +448,37 @@
 
     /// Rule 1: everything read is answered by its due time, even if its work still runs; and as soon as
     /// an answer in time is out of reach, since later it earns nothing.
-    fn answer_what_is_due(&mut self, host: &mut dyn Host) -> bool {
-        let Some(i) = self.first(|inv| !inv.answered && self.now >= self.last_call_for(inv)) else {
-            return false;
-        };
-        self.answer(i, 0, host);
-        true
+    fn answer_what_is_due(&mut self, host: &mut dyn Host) -> Option<()> {
+        let i = self.first(|inv| !inv.answered && self.now >= self.last_call_for(inv))?;
+        self.answer(i, PERIOD, host);
+        Some(())
     }
 
-    fn stop_what_nobody_wants(&mut self, host: &mut dyn Host) -> bool {
+    /// Work that nobody can use any more leaves the cores, where that can be done.
+    fn stop_what_nobody_wants(&mut self, host: &mut dyn Host) -> Option<()> {
         if self.site.halting == Halting::Impossible {
-            return false;
+            return None;
         }
-        let unwanted = |inv: &Inv| inv.answered && !inv.stopped && inv.state == State::OnCores;
-        let Some(i) = self.first(unwanted) else { return false };
+        let i = self.first(|inv| inv.answered && !inv.stopped && inv.state == State::OnCores)?;
         self.invs[i].stopped = true;
         host.stop(self.invs[i].id);
-        true
+        Some(())
     }
 
     /// Rule 3: what arrives later than the grace after the notice is not run.
-    fn refuse_while_leaving(&mut self, host: &mut dyn Host) -> bool {
-        let Some((last, _)) = self.leave else { return false };
-        let late = |inv: &Inv| inv.state == State::Held && inv.arrived > last;
-        let Some(i) = self.first(late) else { return false };
+    fn refuse_while_leaving(&mut self, host: &mut dyn Host) -> Option<()> {
+        let (last, _) = self.leave?;
+        let i = self.first(|inv| inv.state == State::Held && inv.arrived > last)?;
         self.answer(i, PERIOD, host);
-        true
+        Some(())
     }
 
     /// The design's actuator: arrivals in the first rtr of the period are refused, by rank.
-    fn refuse_in_the_window(&mut self, host: &mut dyn Host) -> bool {
-        let Some(i) = self.first(|inv| !inv.judged) else { return false };
+    fn refuse_in_the_window(&mut self, host: &mut dyn Host) -> Option<()> {
+        let i = self.first(|inv| !inv.judged)?;
         self.invs[i].judged = true;
         if self.invs[i].repeats.is_some() {
-            return true;
+            return Some(());
         }
         let window = (self.refusal_ratio(self.invs[i].rank) * PERIOD as f64) as Nanos;
         let passed = self.now - self.period_start;
@@ -497,32 +486,31 @@
             let advice = if self.is_flooded() { self.site.stay_away_max } else { window - passed };
             self.answer(i, advice, host);
         }
-        true
+        Some(())
     }
 
     /// Rule 4: held, running and kept together stay within memory.
-    fn refuse_beyond_memory(&mut self, host: &mut dyn Host) -> bool {
+    fn refuse_beyond_memory(&mut self, host: &mut dyn Host) -> Option<()> {
         if self.memory_needed() <= self.site.memory_kb * MEMORY_SHARE {
-            return false;
+            return None;
         }
         let held = (0..self.invs.len()).filter(|i| self.invs[*i].state == State::Held);
-        let Some(i) = held.min_by_key(|i| (self.invs[*i].rank, std::cmp::Reverse(*i))) else { return false };
+        let i = held.min_by_key(|i| (self.invs[*i].rank, Reverse(*i)))?;
         self.answer(i, PERIOD, host);
-        true
+        Some(())
     }
 
     /// Rule 2: a repeat of what was kept is answered from its forerunner, not run.
-    fn reuse_for_repeats(&mut self, host: &mut dyn Host) -> bool {
-        let repeat = |inv: &Inv| inv.state == State::Held && inv.repeats.is_some();
-        let Some(i) = self.first(repeat) else { return false };
+    fn reuse_for_repeats(&mut self, host: &mut dyn Host) -> Option<()> {
+        let i = self.first(|inv| inv.state == State::Held && inv.repeats.is_some())?;
         self.enter(i, State::Reusing);
         host.reuse(self.invs[i].id);
-        true
+        Some(())
     }
 
     /// Walks the hold in the order it will run; where one would miss its objective, the least worthy
     /// (of equals the newest) of those up to it is refused, so that the rest can be in time.
-    fn refuse_what_cannot_be_done_in_time(&mut self, host: &mut dyn Host) -> bool {
+    fn refuse_what_cannot_be_done_in_time(&mut self, host: &mut dyn Host) -> Option<()> {
         let order = self.hold_in_order();
         let free = (self.limit - self.running()).floor().max(0.0) as usize;
         let mut ahead = 0.0;
@@ -532,27 +520,26 @@
             let wait = if n < free { 0.0 } else { ahead / self.limit };
             ahead += learned.work.mean();
             if self.now as f64 + wait + learned.whole.mean() > inv.wanted as f64 && n >= free {
-                let victim = order[..=n].iter().min_by_key(|i| {
-                    (self.invs[**i].rank, std::cmp::Reverse(self.invs[**i].arrived), std::cmp::Reverse(**i))
-                });
-                self.answer(*victim.expect("at least one"), PERIOD, host);
-                return true;
+                let worth = |i: &&usize| (self.invs[**i].rank, Reverse(self.invs[**i].arrived), Reverse(**i));
+                let victim = *order[..=n].iter().min_by_key(worth)?;
+                self.answer(victim, PERIOD, host);
+                return Some(());
             }
         }
-        false
+        None
     }
 
     /// Work already spent is worth finishing: calls are made while the answer is wanted.
-    fn make_calls(&mut self, host: &mut dyn Host) -> bool {
+    fn make_calls(&mut self, host: &mut dyn Host) -> Option<()> {
         let room = match self.site.below {
             Below::Shared { share, .. } => (share * CROWD_SHARE).max(1.0),
             _ => self.calls_limit.max(1.0),
         };
         if self.count(&[State::Calling]) + 1.0 > room || self.now < self.rest_below_until {
-            return false;
+            return None;
         }
         let ready = |inv: &Inv| inv.state == State::AtCall && !inv.answered && self.now >= inv.retry_call_at;
-        let Some(i) = self.first(ready) else { return false };
+        let i = self.first(ready)?;
         self.enter(i, State::Calling);
         self.invs[i].calls += 1;
         let inv = &self.invs[i];
@@ -560,40 +547,35 @@
         let again = self.site.operations[inv.operation].effect == Effect::Idempotent;
         let patience = self.call_time.mean() * CALL_PATIENCE * f64::from(1 << inv.calls.min(8));
         host.call(inv.id, if again && patience > 0.0 { left.min(patience as Nanos) } else { left });
-        true
+        Some(())
     }
 
-    fn run_next(&mut self, host: &mut dyn Host) -> bool {
+    fn run_next(&mut self, host: &mut dyn Host) -> Option<()> {
         if self.calls_full() {
-            return false;
+            return None;
         }
         let open = self.count(&[State::OnCores, State::AtCall, State::Calling]);
-        let reading = if self.site.called_by_own {
-            0.0
-        } else {
-            self.reading.mean().min(self.site.cores * READING_SHARE)
-        };
-        if self.running() + 1.0 > (self.limit - reading).min(self.crowd()).max(1.0)
-            || open + 1.0 > self.crowd().max(1.0)
-        {
-            return false;
+        let share = if self.site.called_by_own { 0.0 } else { READING_SHARE };
+        let limit = self.limit - self.reading.mean().min(self.site.cores * share);
+        if self.running() + 1.0 > limit.min(self.crowd()).max(1.0) || open + 1.0 > self.crowd().max(1.0) {
+            return None;
         }
-        let Some(i) = self.hold_in_order().into_iter().next() else { return false };
+        let i = self.hold_in_order().into_iter().next()?;
         let more = self.invs[i].held_kb * (self.site.run_memory - 1.0);
         if self.memory_needed() + more > self.site.memory_kb * MEMORY_SHARE {
-            return false;
+            return None;
         }
         self.enter(i, State::OnCores);
         let inv = &mut self.invs[i];
         inv.begun = self.now;
         inv.ran = true;
         host.run(inv.id);
-        true
+        Some(())
     }
 
-    fn tell_callers(&mut self, host: &mut dyn Host) -> bool {
+    fn tell_callers(&mut self, host: &mut dyn Host) -> Option<()> {
         let here = f64::from(self.leave.is_none());
-        let healthy = self.leave.is_none() && !self.is_stalled() && self.failing() <= 2.0 * FAILING;
+        let healthy = self.leave.is_none() && !self.is_stalled() && self.failing() <= UNHEALTHY;
         let value = match self.site.advert {
             Advert::Nothing => self.advertised,
             Advert::Weight => (1.0 - self.refusal_ratio(0)) * self.warmth() * here,
@@ -601,7 +583,7 @@
             Advert::Allowance => self.limit * here,
         };
         if healthy == self.healthy && (value.is_nan() || value == self.advertised) {
-            return false;
+            return None;
         }
         if healthy != self.healthy {
             self.healthy = healthy;
@@ -612,19 +594,18 @@
             self.advertised = value;
             host.advertise(value);
         }
-        true
+        Some(())
     }
 
-    fn set_alarm(&mut self, host: &mut dyn Host) -> bool {
+    fn set_alarm(&mut self, host: &mut dyn Host) -> Option<()> {
         let next = self.invs.iter().filter(|inv| !inv.answered).map(|inv| {
-            let call = if inv.state == State::AtCall { inv.retry_call_at } else { Nanos::MAX };
-            let call = if call > self.now { call } else { Nanos::MAX };
-            self.last_call_for(inv).min(call)
+            let again = inv.state == State::AtCall && inv.retry_call_at > self.now;
+            self.last_call_for(inv).min(if again { inv.retry_call_at } else { Nanos::MAX })
         });
-        let Some(next) = next.min().filter(|next| *next < self.alarm_at) else { return false };
+        let next = next.min().filter(|next| *next < self.alarm_at)?;
         self.alarm_at = next;
         host.wake(next.saturating_sub(self.now).max(1), ALARM);
-        true
+        Some(())
     }
 
     // ---- Helpers ----
