--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -109,14 +109,12 @@
 }
 
 /// What is learned of an operation: time on the cores, and from start to end, calls included.
-#[derive(Clone, Debug)]
 struct Learned {
     work: Decaying,
     whole: Decaying,
     base: f64,
 }
 
-#[derive(Clone, Debug)]
 struct Regulator {
     /// The lowest rank not wholly refused: it is "basic" now, the next one "premium".
     cut: usize,
@@ -255,13 +253,14 @@
     pub fn finished(&mut self, now: Nanos, id: u64, ending: Ending, host: &mut dyn Host) {
         self.now = now;
         if let Some(i) = self.find(id) {
-            self.progress(i);
+            let ran = self.invs[i].state != State::Reusing;
+            self.enter(i, State::Held);
             let inv = self.invs[i].clone();
             let ended = matches!(ending, Ending::Succeeded | Ending::Errored);
-            if ended && inv.state != State::Reusing {
+            if ended && ran {
                 self.failing.add(now, f64::from(ending == Ending::Errored));
             }
-            if ending == Ending::Succeeded && inv.state != State::Reusing {
+            if ending == Ending::Succeeded && ran {
                 let learned = &mut self.learned[inv.operation];
                 learned.work.add(now, inv.on_cores as f64);
                 learned.whole.add(now, (now - inv.begun) as f64);
@@ -269,12 +268,9 @@
             }
             if ended || inv.answered {
                 self.invs.remove(i);
-            } else {
-                // Stopped unasked: its work is lost. It may run again only where that does no harm.
-                self.invs[i].state = State::Held;
-                if inv.ran && self.site.operations[inv.operation].effect != Effect::Idempotent {
-                    self.answer(i, 0, host);
-                }
+            } else if inv.ran && self.site.operations[inv.operation].effect != Effect::Idempotent {
+                // Stopped unasked, its work lost: held again, but only where running twice does no harm.
+                self.answer(i, 0, host);
             }
         }
         self.decide(host);
@@ -283,7 +279,6 @@
     pub fn needs_call(&mut self, now: Nanos, id: u64, host: &mut dyn Host) {
         self.now = now;
         if let Some(i) = self.find(id) {
-            self.progress(i);
             self.enter(i, State::AtCall);
         }
         self.decide(host);
@@ -327,10 +322,7 @@
     pub fn caller_gone(&mut self, now: Nanos, id: u64, host: &mut dyn Host) {
         self.now = now;
         if let Some(i) = self.find(id) {
-            self.invs[i].answered = true;
-            if matches!(self.invs[i].state, State::Held | State::Reusing) {
-                self.invs.remove(i);
-            }
+            self.close(i);
         }
         self.decide(host);
     }
@@ -626,16 +618,11 @@
         let inv = &mut self.invs[i];
         if inv.state == State::OnCores {
             inv.on_cores += self.now - inv.since;
+            self.last_progress = self.now;
         }
         (inv.state, inv.since) = (state, self.now);
     }
 
-    fn progress(&mut self, i: usize) {
-        self.last_progress = self.now;
-        let state = self.invs[i].state;
-        self.enter(i, state);
-    }
-
     fn running(&self) -> f64 {
         self.count(&[State::OnCores])
     }
@@ -738,8 +725,13 @@
             host.forget(inv.id);
             self.tokens.retain(|(id, _)| *id != inv.id);
         }
-        inv.answered = true;
-        if matches!(inv.state, State::Held | State::Reusing) {
+        self.close(i);
+    }
+
+    /// Nothing more is owed; what still runs or calls stays until it ends.
+    fn close(&mut self, i: usize) {
+        self.invs[i].answered = true;
+        if matches!(self.invs[i].state, State::Held | State::Reusing) {
             self.invs.remove(i);
         }
     }
