--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -12,7 +12,7 @@
 use crate::{Advert, Arrival, Below, Deployment, Effect, Ending, Gauges, Halting, Host, Nanos, Operation};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::cmp::{Ordering, Reverse};
+use std::cmp::Reverse;
 
 /// The control period: the span that the gauge looks back over.
 const PERIOD: Nanos = 500_000_000;
@@ -116,8 +116,6 @@
 }
 
 struct Regulator {
-    /// The lowest rank not wholly refused: it is "basic" now, the next one "premium".
-    cut: usize,
     sum: f64,
     /// Refusal ratios of premium and basic.
     ratio: [f64; 2],
@@ -177,8 +175,7 @@
         let mut values: Vec<f64> = billed.flat_map(|value| [value * over_share, value]).collect();
         values.sort_by(f64::total_cmp);
         values.dedup();
-        // Calls carry work already spent above, so in a called tier none is basic until all else failed:
-        // the lowest rank stays empty there.
+        // A refused call throws away work done above: in a called tier none is basic, that rank is empty.
         if site.called_by_own {
             values.insert(0, 0.0);
         }
@@ -205,7 +202,7 @@
             calls_limit: site.cores,
             call_time: Decaying::new(memory, now),
             rest_below_until: 0,
-            regulator: Regulator { cut: 0, sum: 0.0, ratio: [0.0; 2], output: 0.0, fit, varied: 0.0 },
+            regulator: Regulator { sum: 0.0, ratio: [0.0; 2], output: 0.0, fit, varied: 0.0 },
             period_start: now,
             last_progress: now,
             failing: Decaying::new(memory / 4, now),
@@ -355,7 +352,6 @@
     fn regulate(&mut self, busy: f64, host: &mut dyn Host) {
         let output = busy.max(f64::from(self.calls_full()));
         let backlog = self.backlog();
-        let ranks = self.values.len();
         let r = &mut self.regulator;
         let error = output - REFERENCE;
         if r.ratio[1] > 0.0 {
@@ -379,17 +375,6 @@
         r.sum = r.sum.clamp(0.0, most);
         let before = r.ratio[1];
         r.ratio = k.map(|row| (row[0] * error + row[1] * (r.sum + backlog)).clamp(0.0, 1.0));
-        // The design's gap: what is spared can overload the server by itself. Only when basic has been
-        // refused for a whole period and it was not enough do the ranks move up by one.
-        if before >= 1.0 && output >= 1.0 && r.cut + 1 < ranks {
-            r.cut += 1;
-            r.sum = 0.0;
-            r.ratio = [0.0; 2];
-        } else if before <= 0.0 && r.ratio[1] <= 0.0 && r.cut > 0 {
-            r.cut -= 1;
-            r.sum = most;
-            r.ratio[1] = 1.0;
-        }
         if (before > 0.0) != (r.ratio[1] > 0.0) {
             host.log(if before > 0.0 { "refusing ends" } else { "refusing begins" });
         }
@@ -405,23 +390,31 @@
         (work / self.limit + unread) / PERIOD as f64
     }
 
+    /// Share of the period in which arrivals of a rank are refused: the lowest is basic, the next premium.
     fn refusal_ratio(&self, rank: usize) -> f64 {
-        let r = &self.regulator;
-        let regular = match rank.cmp(&r.cut) {
-            Ordering::Less => 1.0,
-            Ordering::Equal => r.ratio[1],
-            Ordering::Greater if rank == r.cut + 1 => r.ratio[0],
-            Ordering::Greater => 0.0,
-        };
-        if self.is_stalled() || (self.is_flooded() && rank + 1 < self.values.len()) {
+        if self.is_flooded() && rank + 1 < self.values.len() {
             return 1.0;
         }
-        if self.failing() > FAILING { regular.max(self.failing().min(FAILING_MOST)) } else { regular }
+        let [premium, basic] = self.regulator.ratio;
+        [basic, premium].get(rank).copied().unwrap_or(0.0).max(self.sick())
     }
 
-    /// Share of runs that fail by themselves. They leave the cores idle, so that the gauge is blind to them.
-    fn failing(&self) -> f64 {
-        if self.failing.weight(self.now) > SEEN_FAILING { self.failing.mean() } else { 0.0 }
+    /// Guards against a server that looks idle because it is ill, and would draw traffic: runs fail by
+    /// themselves, or nothing moves on the cores. Covers bad releases, lost disks, hangs. Harms where a
+    /// few very long runs are taken for a hang, so the bound is well above the usual. The share of
+    /// arrivals to keep away; some come through and show when it is over.
+    fn sick(&self) -> f64 {
+        let usual = self.learned.iter().map(|l| l.work.mean()).fold(0.0, f64::max);
+        let oldest = self.invs.iter().filter(|inv| inv.state == State::OnCores).map(|inv| inv.since).min();
+        let still = oldest.map_or(0, |since| self.now - since.max(self.last_progress));
+        let failing = if self.failing.weight(self.now) > SEEN_FAILING { self.failing.mean() } else { 0.0 };
+        if still as f64 > usual * STALLED {
+            1.0
+        } else if failing > FAILING {
+            failing.min(FAILING_MOST)
+        } else {
+            0.0
+        }
     }
 
     /// The learned running limit: from the core count up to what the server survives.
@@ -475,7 +468,8 @@
         let window = (self.refusal_ratio(self.invs[i].rank) * PERIOD as f64) as Nanos;
         let passed = self.now - self.period_start;
         if passed < window {
-            let advice = if self.is_flooded() { self.site.stay_away_max } else { window - passed };
+            let alone = self.is_flooded() || self.sick() > 0.0;
+            let advice = if alone { self.site.stay_away_max } else { window - passed };
             self.answer(i, advice, host);
         }
         Some(())
@@ -567,7 +561,7 @@
 
     fn tell_callers(&mut self, host: &mut dyn Host) -> Option<()> {
         let here = f64::from(self.leave.is_none());
-        let healthy = self.leave.is_none() && !self.is_stalled() && self.failing() <= UNHEALTHY;
+        let healthy = self.leave.is_none() && self.sick() <= UNHEALTHY;
         let value = match self.site.advert {
             Advert::Nothing => self.advertised,
             Advert::Weight => (1.0 - self.refusal_ratio(0)) * self.warmth() * here,
@@ -689,12 +683,6 @@
         self.unread() > FLOODED * objective as f64
     }
 
-    fn is_stalled(&self) -> bool {
-        let usual = self.learned.iter().map(|l| l.work.mean()).fold(0.0, f64::max);
-        let oldest = self.invs.iter().filter(|inv| inv.state == State::OnCores).map(|inv| inv.since).min();
-        oldest.is_some_and(|since| (self.now - since.max(self.last_progress)) as f64 > usual * STALLED)
-    }
-
     fn takes_more_than_its_share(&mut self, tenant: usize) -> bool {
         let Some((room, at)) = self.tenants.get_mut(tenant) else { return false };
         let rate = self.site.tenant_allowance[tenant] / self.site.peers;
@@ -712,7 +700,7 @@
     fn answer(&mut self, i: usize, stay_away: Nanos, host: &mut dyn Host) {
         let late = self.now >= self.last_call_for(&self.invs[i]);
         let again = self.site.retries_marked && self.invs[i].marked_retry;
-        let pressed = self.regulator.cut > 0 || self.regulator.ratio[1] > WALK;
+        let pressed = self.regulator.ratio[1] > WALK;
         let last = late || again || (pressed && !self.site.retries_marked);
         let inv = &mut self.invs[i];
         let effect = self.site.operations[inv.operation].effect;
