--- a/crates/simhost/src/settings.rs
+++ b/crates/simhost/src/settings.rs
@@ -141,3 +141,39 @@
     let place = |name: &str| gauges.iter().position(|gauge| *gauge == name);
     Ok(Read { deployment, busy_gauge: place("cpu_busy"), wanting_gauge: place("runnable") })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = "grades.count=1\ngrades.0.effect=by_key\ngrades.0.target=2000000\n\
+        grades.0.give-up=5000000\ngrades.0.window=5000000\ngrades.0.worth=2.5\npeers-total=11\n\
+        family-info.below=off\nfamily-info.preemption=freeze\nfamily-info.say=weight\n\
+        family-info.cores=6\nfamily-info.memory-kb=1000\nfamily-info.run-factor=4\n\
+        family-info.entry-kb=7\nfamily-info.own-stats=mem_used,cpu_busy\ncontract.drain-grace=2500000\n\
+        contract.grace-to-answer=60000\ncontract.fall-multiple=8.0\ncontract.fall=1500000\n\
+        contract.cold-from=0.2\ncontract.cold=17000000\nsome.unknown=key\n";
+
+    #[test]
+    fn reads_what_decisions_need() {
+        let read = super::read(GOOD).unwrap();
+        let site = read.deployment;
+        assert_eq!((site.operations[0].effect, site.operations[0].billed_value), (Effect::Tokened, 2.5));
+        assert_eq!(site.operations[0].latency_objective, 2_000_000_000);
+        assert_eq!((site.halting, site.advert, site.stay_away_max), (Halting::Pauses, Advert::Weight, 0));
+        assert_eq!((read.busy_gauge, read.wanting_gauge), (Some(1), None));
+    }
+
+    #[test]
+    fn names_what_cannot_be_read() {
+        for line in GOOD.lines().filter(|line| !line.starts_with("some.") && !line.contains("own-stats")) {
+            let path = line.split('=').next().unwrap();
+            let without = GOOD.replace(&format!("{line}\n"), "");
+            let bad = GOOD.replace(line, &format!("{path}=?"));
+            for config in [without, bad] {
+                let error = super::read(&config).err().unwrap_or_else(|| panic!("{path} was not missed"));
+                assert!(format!("{error:#}").contains(path), "{error:#}");
+            }
+        }
+    }
+}
