--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -46,6 +46,7 @@
 /// Steps of what is granted to tenants beyond the even part of their shares, a period.
 const GRANT_UP: f64 = 1.05;
 const GRANT_DOWN: f64 = 0.95;
+const LATE: f64 = 4.0;
 /// Share of memory and of the survivable crowd that is used.
 const MEMORY_SHARE: f64 = 0.85;
 const CROWD_SHARE: f64 = 0.7;
@@ -151,6 +152,7 @@
     period_start: Nanos,
     last_progress: Nanos,
     failing: Decaying,
+    late: Decaying,
     leave: Option<(Nanos, Nanos)>,
     alarm_at: Nanos,
     advertised: f64,
@@ -216,6 +218,7 @@
             period_start: now,
             last_progress: now,
             failing: Decaying::new(memory / 4, now),
+            late: Decaying::new(memory, now),
             leave: None,
             alarm_at: Nanos::MAX,
             advertised: f64::NAN,
@@ -266,6 +269,7 @@
             let ended = matches!(ending, Ending::Succeeded | Ending::Errored);
             if ended && ran {
                 self.failing.add(now, f64::from(ending == Ending::Errored));
+                self.late.add(now, 0.0);
             }
             if ending == Ending::Succeeded && ran {
                 let learned = &mut self.learned[inv.operation];
@@ -587,7 +591,7 @@
         let healthy = self.leave.is_none() && self.sick() <= UNHEALTHY;
         let value = match self.site.advert {
             Advert::Nothing => self.advertised,
-            Advert::Weight => (1.0 - self.refusal_ratio(0)) * self.warmth() * here,
+            Advert::Weight => (1.0 - self.refusal_ratio(0)) * (1.0 - LATE * self.late.mean()).max(0.1) * self.warmth() * here,
             Advert::Floor => 1.0 - here,
             Advert::Allowance => self.limit * here,
         };
@@ -723,6 +727,9 @@
     fn answer(&mut self, i: usize, stay_away: Nanos, host: &mut dyn Host) {
         let late = self.now >= self.last_call_for(&self.invs[i]);
         let again = self.site.retries_marked && self.invs[i].marked_retry;
+        if self.invs[i].state != State::Held {
+            self.late.add(self.now, 1.0);
+        }
         let pressed = self.regulator.ratio[1] > WALK;
         let last = late || again || (pressed && !self.site.retries_marked);
         let inv = &mut self.invs[i];
