--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -43,10 +43,6 @@
 const WALK: f64 = 0.3;
 /// Seconds of its share that a tenant may send at once before it counts as over it.
 const SHARE_SECONDS: f64 = 5.0;
-/// Steps of what is granted to tenants beyond the even part of their shares, a period.
-const GRANT_UP: f64 = 1.05;
-const GRANT_DOWN: f64 = 0.95;
-const LATE: f64 = 4.0;
 /// Share of memory and of the survivable crowd that is used.
 const MEMORY_SHARE: f64 = 0.85;
 const CROWD_SHARE: f64 = 0.7;
@@ -137,10 +133,6 @@
     values: Vec<f64>,
     learned: Vec<Learned>,
     tenants: Vec<(f64, Nanos)>,
-    /// Times the even part of their shares that tenants are granted here, and what argues for less or more.
-    grant: f64,
-    shares_cut: bool,
-    surplus_ran: bool,
     tokens: Vec<(u64, Nanos)>,
     limit: f64,
     unread_for: Decaying,
@@ -152,7 +144,6 @@
     period_start: Nanos,
     last_progress: Nanos,
     failing: Decaying,
-    late: Decaying,
     leave: Option<(Nanos, Nanos)>,
     alarm_at: Nanos,
     advertised: f64,
@@ -204,9 +195,6 @@
             invs: Vec::new(),
             learned: site.operations.iter().map(learned).collect(),
             tenants: site.tenant_allowance.iter().map(|each| (each / site.peers, now)).collect(),
-            grant: 1.0,
-            shares_cut: false,
-            surplus_ran: false,
             tokens: Vec::new(),
             limit: site.cores,
             unread_for: Decaying::new(PERIOD / 2, now),
@@ -218,7 +206,6 @@
             period_start: now,
             last_progress: now,
             failing: Decaying::new(memory / 4, now),
-            late: Decaying::new(memory, now),
             leave: None,
             alarm_at: Nanos::MAX,
             advertised: f64::NAN,
@@ -269,7 +256,6 @@
             let ended = matches!(ending, Ending::Succeeded | Ending::Errored);
             if ended && ran {
                 self.failing.add(now, f64::from(ending == Ending::Errored));
-                self.late.add(now, 0.0);
             }
             if ending == Ending::Succeeded && ran {
                 let learned = &mut self.learned[inv.operation];
@@ -349,7 +335,6 @@
             self.learn_limit(busy);
             self.regulate(busy, host);
             self.period_start = now;
-            self.learn_grant();
         } else if now >= self.alarm_at {
             self.alarm_at = Nanos::MAX;
         }
@@ -444,17 +429,6 @@
         self.limit = self.limit.clamp(self.site.cores, self.crowd().max(self.site.cores));
     }
 
-    /// The fleet's shares are split evenly at first, but servers and what reaches them are not even, and
-    /// servers go. So more is granted while work over a share still runs, less when work within one is cut.
-    fn learn_grant(&mut self) {
-        if self.shares_cut {
-            self.grant = (self.grant * GRANT_DOWN).max(1.0);
-        } else if self.surplus_ran && self.regulator.ratio[1] > 0.0 {
-            self.grant = (self.grant * GRANT_UP).min(self.site.peers);
-        }
-        (self.shares_cut, self.surplus_ran) = (false, false);
-    }
-
     // ---- Rules ----
 
     /// Rule 1: everything read is answered by its due time, even if its work still runs; and as soon as
@@ -581,7 +555,6 @@
         let inv = &mut self.invs[i];
         inv.begun = self.now;
         inv.ran = true;
-        self.surplus_ran |= inv.rank == 0;
         host.run(inv.id);
         Some(())
     }
@@ -591,7 +564,7 @@
         let healthy = self.leave.is_none() && self.sick() <= UNHEALTHY;
         let value = match self.site.advert {
             Advert::Nothing => self.advertised,
-            Advert::Weight => (1.0 - self.refusal_ratio(0)) * (1.0 - LATE * self.late.mean()).max(0.1) * self.warmth() * here,
+            Advert::Weight => (1.0 - self.refusal_ratio(0)) * self.warmth() * here,
             Advert::Floor => 1.0 - here,
             Advert::Allowance => self.limit * here,
         };
@@ -712,7 +685,7 @@
 
     fn takes_more_than_its_share(&mut self, tenant: usize) -> bool {
         let Some((room, at)) = self.tenants.get_mut(tenant) else { return false };
-        let rate = self.site.tenant_allowance[tenant] / self.site.peers * self.grant;
+        let rate = self.site.tenant_allowance[tenant] / self.site.peers;
         let seconds = (self.now - *at) as f64 / 1e9;
         *room = (*room + rate * seconds).min((rate * SHARE_SECONDS).max(1.0));
         *at = self.now;
@@ -727,13 +700,9 @@
     fn answer(&mut self, i: usize, stay_away: Nanos, host: &mut dyn Host) {
         let late = self.now >= self.last_call_for(&self.invs[i]);
         let again = self.site.retries_marked && self.invs[i].marked_retry;
-        if self.invs[i].state != State::Held {
-            self.late.add(self.now, 1.0);
-        }
         let pressed = self.regulator.ratio[1] > WALK;
         let last = late || again || (pressed && !self.site.retries_marked);
         let inv = &mut self.invs[i];
-        self.shares_cut |= inv.rank > 0 && inv.state == State::Held;
         let effect = self.site.operations[inv.operation].effect;
         if effect == Effect::Idempotent || (!inv.ran && inv.repeats.is_none()) {
             host.throttle(inv.id, last, stay_away.min(self.site.stay_away_max));
