--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -2,11 +2,11 @@
 //!
 //! - before `start`: `site NAME VALUE` changes the deployment, `operation NAME=VALUE ...` adds one,
 //!   `tenant PER_SECOND` adds one.
-//! - `busy X` and `wanting X` set the gauges; `wait MS` lets time pass, timers included; `repeat N` ... `end`.
+//! - `busy X` and `wanting X` set the gauges; `wait MS` lets time pass, timers included; `repeat N STEP`, or `repeat N` ... `end`.
 //! - `arrive NAME=VALUE ...` (ids count from 1), `finish ID|all|first [ok|error|cancelled]`,
 //!   `needs ID`, `called ID ok|error|unknown|never_ran [MS]`, `leave MS`, `gone ID`.
 //! - `expect WHAT [opN|ID] = | < | > NUMBER` counts results since `start` or the last `forget`.
-//!   WHAT is run, throttle, give_up, answer, stop, call, remember, forgotten, reuse, unhealthy, advert
+//!   WHAT is run, throttle, give_up, answer, stop, call, remember, forget, reuse, unhealthy, advert
 //!   (its last value in hundredths), away (longest advice in ms), last (throttled ones that are not to be tried
 //!   elsewhere), patience (ms of the last call's time-out), most (runs open at once).
 
@@ -41,16 +41,18 @@
     }
 }
 
+macro_rules! noted {
+    ($($call:ident)*) => { $(fn $call(&mut self, inv: u64) { self.note(stringify!($call), inv); })* };
+}
+
 impl Host for Recorder {
+    noted! { stop skip_call forget reuse }
     fn run(&mut self, inv: u64) {
         assert!(!self.running.contains(&inv), "{inv} runs already");
         self.running.push(inv);
         self.most = self.most.max(self.running.len());
         self.note("run", inv);
     }
-    fn stop(&mut self, inv: u64) {
-        self.note("stop", inv);
-    }
     fn throttle(&mut self, inv: u64, no_retry: bool, stay_away: Nanos) {
         if no_retry {
             self.note("last", inv);
@@ -65,18 +67,9 @@
         self.patience = timeout;
         self.note("call", inv);
     }
-    fn skip_call(&mut self, inv: u64) {
-        self.note("skip", inv);
-    }
     fn remember(&mut self, inv: u64, _life: Nanos) {
         self.note("remember", inv);
     }
-    fn forget(&mut self, inv: u64) {
-        self.note("forgotten", inv);
-    }
-    fn reuse(&mut self, inv: u64) {
-        self.note("reuse", inv);
-    }
     fn health(&mut self, good: bool, _stored: bool) {
         self.note(if good { "healthy" } else { "unhealthy" }, 0);
     }
@@ -102,6 +95,17 @@
     text.parse().unwrap_or_else(|_| panic!("not a number: {text}"))
 }
 
+fn ending(text: &str) -> Ending {
+    match text {
+        "ok" => Ending::Succeeded,
+        "error" => Ending::Errored,
+        "unknown" => Ending::Unknown,
+        "never_ran" => Ending::NeverRan,
+        "cancelled" => Ending::Cancelled,
+        other => panic!("unknown ending {other}"),
+    }
+}
+
 fn fields<'a>(words: &[&'a str]) -> BTreeMap<&'a str, &'a str> {
     words
         .iter()
@@ -197,29 +201,23 @@
     }
 
     fn step(&mut self, words: &[&str]) {
-        let now = self.seen.now;
-        let id = || number(words[1]) as u64;
         match words[0] {
-            "site" => return self.tune(words[1], words[2]),
-            "operation" => return self.add_operation(&words[1..]),
-            "tenant" => return self.site.tenant_allowance.push(number(words[1])),
-            "start" => {
-                self.brain = Some(Brain::new(self.site.clone(), 7, now, &mut self.seen));
-                return;
-            }
-            "busy" => {
-                self.busy = number(words[1]);
-                return;
-            }
-            "wanting" => {
-                self.wanting = number(words[1]);
-                return;
-            }
-            "wait" => return self.wait(number(words[1]) as Nanos * MS),
-            "forget" => return self.seen.results.clear(),
-            "expect" => return self.expect(&words[1..]),
-            _ => {}
+            "site" => self.tune(words[1], words[2]),
+            "operation" => self.add_operation(&words[1..]),
+            "tenant" => self.site.tenant_allowance.push(number(words[1])),
+            "start" => self.brain = Some(Brain::new(self.site.clone(), 7, self.seen.now, &mut self.seen)),
+            "busy" => self.busy = number(words[1]),
+            "wanting" => self.wanting = number(words[1]),
+            "wait" => self.wait(number(words[1]) as Nanos * MS),
+            "forget" => self.seen.results.clear(),
+            "expect" => self.expect(&words[1..]),
+            _ => self.happens(words),
         }
+    }
+
+    fn happens(&mut self, words: &[&str]) {
+        let now = self.seen.now;
+        let id = || number(words[1]) as u64;
         let brain = self.brain.as_mut().expect("started");
         match words[0] {
             "arrive" => {
@@ -239,12 +237,7 @@
                 brain.arrived(now, arrival, &mut self.seen);
             }
             "finish" => {
-                let ending = match words.get(2).copied().unwrap_or("ok") {
-                    "ok" => Ending::Succeeded,
-                    "error" => Ending::Errored,
-                    "cancelled" => Ending::Cancelled,
-                    other => panic!("unknown ending {other}"),
-                };
+                let ending = ending(words.get(2).unwrap_or(&"ok"));
                 let which: Vec<u64> = match words[1] {
                     "all" => self.seen.running.clone(),
                     "first" => self.seen.running.first().copied().into_iter().collect(),
@@ -260,15 +253,8 @@
             }
             "needs" => brain.needs_call(now, id(), &mut self.seen),
             "called" => {
-                let ending = match words[2] {
-                    "ok" => Ending::Succeeded,
-                    "error" => Ending::Errored,
-                    "unknown" => Ending::Unknown,
-                    "never_ran" => Ending::NeverRan,
-                    other => panic!("unknown ending {other}"),
-                };
                 let took = words.get(3).map_or(MS, |ms| number(ms) as Nanos * MS);
-                brain.call_ended(now, id(), ending, took, &mut self.seen);
+                brain.call_ended(now, id(), ending(words[2]), took, &mut self.seen);
             }
             "leave" => brain.told_to_leave(now, number(words[1]) as Nanos * MS, &mut self.seen),
             "gone" => brain.caller_gone(now, id(), &mut self.seen),
@@ -307,7 +293,9 @@
     fn play(&mut self, lines: &[Vec<&str>]) {
         let mut i = 0;
         while i < lines.len() {
-            if lines[i][0] == "repeat" {
+            if lines[i][0] == "repeat" && lines[i].len() > 2 {
+                (0..number(lines[i][1]) as usize).for_each(|_| self.step(&lines[i][2..]));
+            } else if lines[i][0] == "repeat" {
                 let end = i + lines[i..].iter().position(|line| line[0] == "end").expect("repeat has an end");
                 for _ in 0..number(lines[i][1]) as usize {
                     self.play(&lines[i + 1..end]);
