--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -387,7 +387,8 @@
         let work: f64 = held.map(|inv| self.learned[inv.operation].work.mean()).sum();
         let usual = self.learned.iter().map(|l| l.work.mean()).fold(0.0, f64::max) * UNREAD_USUAL;
         let unread = (self.unread() - usual).max(0.0);
-        (work / self.limit + unread) / PERIOD as f64
+        let calls = (self.count(&[State::AtCall, State::Calling]) / self.calls_limit - 1.0).max(0.0);
+        (work / self.limit + unread + calls * self.call_time.mean()) / PERIOD as f64
     }
 
     /// Share of the period in which arrivals of a rank are refused: the lowest is basic, the next premium.
