--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -374,7 +374,11 @@
         let most = if k[1][1] > 0.0 { 1.0 / k[1][1] } else { 0.0 };
         r.sum = r.sum.clamp(0.0, most);
         let before = r.ratio[1];
-        r.ratio = k.map(|row| (row[0] * error + row[1] * (r.sum + backlog)).clamp(0.0, 1.0));
+        let [premium, basic] = k.map(|row| row[0] * error + row[1] * (r.sum + backlog));
+        // The design's gap: what is spared can overload the server by itself. What basic, wholly refused,
+        // cannot give is asked of premium; not in a called tier, where all ranks carry sunk work.
+        let rest = if self.site.called_by_own { 0.0 } else { (basic - 1.0).max(0.0) };
+        r.ratio = [premium + rest, basic].map(|ratio| ratio.clamp(0.0, 1.0));
         if (before > 0.0) != (r.ratio[1] > 0.0) {
             host.log(if before > 0.0 { "refusing ends" } else { "refusing begins" });
         }
