--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -376,8 +376,9 @@
         let before = r.ratio[1];
         let [premium, basic] = k.map(|row| row[0] * error + row[1] * (r.sum + backlog));
         // The design's gap: what is spared can overload the server by itself. What basic, wholly refused,
-        // cannot give is asked of premium; not in a called tier, where all ranks carry sunk work.
-        let rest = if self.site.called_by_own { 0.0 } else { (basic - 1.0).max(0.0) };
+        // cannot give is asked of premium, unless that is the top rank or the tier carries sunk work.
+        let spared = self.values.len() < 3 || self.site.called_by_own;
+        let rest = if spared { 0.0 } else { (basic - 1.0).max(0.0) };
         r.ratio = [premium + rest, basic].map(|ratio| ratio.clamp(0.0, 1.0));
         if (before > 0.0) != (r.ratio[1] > 0.0) {
             host.log(if before > 0.0 { "refusing ends" } else { "refusing begins" });
