--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -43,6 +43,8 @@
 const WALK: f64 = 0.3;
 /// Seconds of its share that a tenant may send at once before it counts as over it.
 const SHARE_SECONDS: f64 = 5.0;
+/// Part of what basic cannot give that is asked of premium.
+const PREMIUM_PART: f64 = 0.4;
 /// Share of memory and of the survivable crowd that is used.
 const MEMORY_SHARE: f64 = 0.85;
 const CROWD_SHARE: f64 = 0.7;
@@ -378,7 +380,7 @@
         // The design's gap: what is spared can overload the server by itself. What basic, wholly refused,
         // cannot give is asked of premium, unless that is the top rank or the tier carries sunk work.
         let spared = self.values.len() < 3 || self.site.called_by_own;
-        let rest = if spared { 0.0 } else { (basic - 1.0).max(0.0) };
+        let rest = if spared { 0.0 } else { (basic - 1.0).max(0.0) * PREMIUM_PART };
         r.ratio = [premium + rest, basic].map(|ratio| ratio.clamp(0.0, 1.0));
         if (before > 0.0) != (r.ratio[1] > 0.0) {
             host.log(if before > 0.0 { "refusing ends" } else { "refusing begins" });
--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -330,6 +330,7 @@
 #[test_case("top_rank_alone_overloads")]
 #[test_case("reading_under_the_limit")]
 #[test_case("shared_dependency")]
+#[test_case("premium_gives_the_rest")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
