--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -296,7 +296,12 @@
             if lines[i][0] == "repeat" && lines[i].len() > 2 {
                 (0..number(lines[i][1]) as usize).for_each(|_| self.step(&lines[i][2..]));
             } else if lines[i][0] == "repeat" {
-                let end = i + lines[i..].iter().position(|line| line[0] == "end").expect("repeat has an end");
+                let mut depth = 0;
+                let closes = |line: &Vec<&str>| {
+                    depth += i32::from(line[0] == "repeat" && line.len() == 2) - i32::from(line[0] == "end");
+                    depth == 0
+                };
+                let end = i + lines[i..].iter().position(closes).expect("repeat has an end");
                 for _ in 0..number(lines[i][1]) as usize {
                     self.play(&lines[i + 1..end]);
                 }
