--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -2,7 +2,7 @@
 //!
 //! - first `site NAME VALUE` to change the deployment, `operation NAME=VALUE ...` (a patient one where none is
 //!   given) and `tenant PER_SECOND` to add one; the server starts with what comes next.
-//! - `busy X` and `wanting X` set the gauges; `wait MS` lets time pass, timers included; `repeat N STEP`, or `repeat N` ... `end`.
+//! - `busy X` and `wanting X` set the gauges; `wait MS` lets time pass; `repeat N STEP`, `repeat N` ... `end`.
 //! - `arrive NAME=VALUE ...` (ids count from 1), `finish ID|all|first [ok|error|cancelled]`,
 //!   `needs ID`, `called ID ok|error|unknown|never_ran [MS]`, `leave MS`, `gone ID`.
 //! - `expect WHAT [opN|ID] = | < | > NUMBER` counts results since the start or the last `forget`.
