--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -18,8 +18,7 @@
 const PERIOD: Nanos = 500_000_000;
 /// Busy share of the cores to steer to.
 const REFERENCE: f64 = 0.9;
-/// Share of a run's time that invocations usually lie unread, and the share of the shortest latency
-/// objective beyond which reading itself overloads the server.
+/// Usual time unread as a share of a run's, and the share of the shortest objective that is a flood.
 const UNREAD_USUAL: f64 = 0.5;
 const FLOODED: f64 = 0.25;
 /// Weights of error and running sum, and of refusing premium and basic (the paper's).
@@ -64,8 +63,7 @@
 const SLOWED: f64 = 1.3;
 /// Growth of the learned base for each run, so that it follows a lasting change.
 const BASE_DRIFT: f64 = 1.005;
-/// Share of runs that fail by themselves: from which arrivals are kept away, most of them kept away (some
-/// must show whether it is over), from which checks hear bad; and runs of late that must have been seen.
+/// Share of runs that fail: to act on, most kept away for it, for bad health; and runs to have seen.
 const FAILING: f64 = 0.25;
 const FAILING_MOST: f64 = 0.9;
 const UNHEALTHY: f64 = 0.5;
@@ -217,8 +215,6 @@
         }
     }
 
-    // ---- What happens to the server ----
-
     pub fn arrived(&mut self, now: Nanos, arrival: Arrival, host: &mut dyn Host) {
         self.now = now;
         let over_share = self.takes_more_than_its_share(arrival.tenant);
@@ -407,10 +403,8 @@
         [basic, premium].get(rank).copied().unwrap_or(0.0).max(self.sick())
     }
 
-    /// Guards against a server that looks idle because it is ill, and would draw traffic: runs fail by
-    /// themselves, or nothing moves on the cores. Covers bad releases, lost disks, hangs. Harms where a
-    /// few very long runs are taken for a hang, so the bound is well above the usual. The share of
-    /// arrivals to keep away; some come through and show when it is over.
+    /// Share of arrivals to keep away. Guards against a server that looks idle because it is ill: runs fail
+    /// by themselves, or nothing moves (bad release, lost disk, hang). Harms where long runs look like one.
     fn sick(&self) -> f64 {
         let usual = self.learned.iter().map(|l| l.work.mean()).fold(0.0, f64::max);
         let oldest = self.invs.iter().filter(|inv| inv.state == State::OnCores).map(|inv| inv.since).min();
@@ -532,8 +526,15 @@
         if self.count(&[State::Calling]) + 1.0 > room || self.now < self.rest_below_until {
             return None;
         }
-        let ready = |inv: &Inv| inv.state == State::AtCall && !inv.answered && self.now >= inv.retry_call_at;
-        let i = self.first(ready)?;
+        let at_call =
+            |inv: &Inv| inv.state == State::AtCall && !inv.answered && self.now >= inv.retry_call_at;
+        let i = self.first(at_call)?;
+        // One that failed is left out where the answer keeps some value without it.
+        if self.invs[i].calls > 0 && self.site.operations[self.invs[i].operation].without_call_value > 0.0 {
+            self.enter(i, State::OnCores);
+            host.skip_call(self.invs[i].id);
+            return Some(());
+        }
         self.enter(i, State::Calling);
         self.invs[i].calls += 1;
         let inv = &self.invs[i];
@@ -602,8 +603,6 @@
         Some(())
     }
 
-    // ---- Helpers ----
-
     fn first(&self, which: impl FnMut(&Inv) -> bool) -> Option<usize> {
         self.invs.iter().position(which)
     }
--- a/crates/meadowstream/src/lib.rs
+++ b/crates/meadowstream/src/lib.rs
@@ -62,7 +62,6 @@
     pub drain_grace: Nanos,
     pub answer_grace: Nanos,
     pub survivable_crowd: f64,
-    pub crowd_window: Nanos,
     pub cold: bool,
     pub cold_speed: f64,
     pub cold_for: Nanos,
@@ -100,11 +99,10 @@
 pub enum Below {
     Nothing,
     Tier,
-    /// One dependency for all servers: the mean number of calls that is this server's share, the
-    /// span of that mean, and how long an abandoned call lingers there.
+    /// One dependency for all servers: the mean number of calls that is this server's share, and how
+    /// long an abandoned call lingers there.
     Shared {
         share: f64,
-        span: Nanos,
         linger: Nanos,
     },
 }
