--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -53,10 +53,10 @@
 const CALLS_DOWN: f64 = 0.93;
 /// A call that may be repeated is given up after this many usual call times, twice as many each time.
 const CALL_PATIENCE: f64 = 2.0;
-/// Reading takes its place under the running limit, up to this share of the cores.
-const READING_SHARE: f64 = 0.25;
 /// A call that was turned away is made again after this share of a run's usual time.
 const CALL_PAUSE: f64 = 0.25;
+/// Reading takes its place under the running limit, up to this share of the cores.
+const READING_SHARE: f64 = 0.25;
 /// Steps of the running limit a reading, and the slowdown of runs at which it eases back.
 const LIMIT_UP: f64 = 1.15;
 const LIMIT_DOWN: f64 = 0.95;
@@ -121,7 +121,7 @@
     ratio: [f64; 2],
     output: f64,
     fit: Fit,
-    /// Spread of the basic ratio over recent periods.
+    /// How much the output moved of late while basic was refused.
     varied: f64,
 }
 
@@ -146,7 +146,7 @@
     failing: Decaying,
     leave: Option<(Nanos, Nanos)>,
     alarm_at: Nanos,
-    advertised: f64,
+    advertised: Option<f64>,
     healthy: bool,
 }
 
@@ -208,7 +208,7 @@
             failing: Decaying::new(memory / 4, now),
             leave: None,
             alarm_at: Nanos::MAX,
-            advertised: f64::NAN,
+            advertised: None,
             healthy: true,
             values,
             site,
@@ -263,7 +263,7 @@
             }
             if ended || inv.answered {
                 self.invs.remove(i);
-            } else if inv.ran && self.site.operations[inv.operation].effect != Effect::Idempotent {
+            } else if inv.ran && !self.is_idempotent(&inv) {
                 // Stopped unasked, its work lost: held again, but only where running twice does no harm.
                 self.answer(i, 0, host);
             }
@@ -281,7 +281,7 @@
 
     pub fn call_ended(&mut self, now: Nanos, id: u64, ending: Ending, took: Nanos, host: &mut dyn Host) {
         self.now = now;
-        if let Below::Shared { share, linger, .. } = self.site.below {
+        if let Below::Shared { share, linger } = self.site.below {
             // Rule 4 where the share is under one call: rest, so that the mean in its hands stays below it.
             let rest = (took + linger) as f64 * (1.0 / (share * CROWD_SHARE) - 1.0).max(0.0);
             self.rest_below_until = now + rest as Nanos;
@@ -290,16 +290,15 @@
             if ending == Ending::Succeeded {
                 self.call_time.add(now, took as f64);
                 self.calls_limit +=
-                    CALLS_UP * self.site.cores / self.calls_limit.max(1.0) * f64::from(self.calls_full());
+                    CALLS_UP * self.site.cores / self.calls_limit * f64::from(self.calls_full());
                 self.enter(i, State::OnCores);
             } else {
-                let operation = self.invs[i].operation;
                 self.enter(i, State::AtCall);
                 if ending == Ending::NeverRan {
                     self.calls_limit = (self.calls_limit * CALLS_DOWN).max(1.0);
-                    let pause = self.learned[operation].whole.mean() * CALL_PAUSE;
+                    let pause = self.learned[self.invs[i].operation].whole.mean() * CALL_PAUSE;
                     self.invs[i].retry_call_at = now + pause as Nanos;
-                } else if self.site.operations[operation].effect != Effect::Idempotent {
+                } else if !self.is_idempotent(&self.invs[i]) {
                     self.answer(i, 0, host);
                 }
             }
@@ -388,8 +387,7 @@
     fn backlog(&self) -> f64 {
         let held = self.invs.iter().filter(|inv| inv.state == State::Held);
         let work: f64 = held.map(|inv| self.learned[inv.operation].work.mean()).sum();
-        let usual = self.learned.iter().map(|l| l.work.mean()).fold(0.0, f64::max) * UNREAD_USUAL;
-        let unread = (self.unread() - usual).max(0.0);
+        let unread = (self.unread() - self.longest_usual_run() * UNREAD_USUAL).max(0.0);
         let calls = (self.count(&[State::AtCall, State::Calling]) / self.calls_limit - 1.0).max(0.0);
         (work / self.limit + unread + calls * self.call_time.mean()) / PERIOD as f64
     }
@@ -406,11 +404,10 @@
     /// Share of arrivals to keep away. Guards against a server that looks idle because it is ill: runs fail
     /// by themselves, or nothing moves (bad release, lost disk, hang). Harms where long runs look like one.
     fn sick(&self) -> f64 {
-        let usual = self.learned.iter().map(|l| l.work.mean()).fold(0.0, f64::max);
         let oldest = self.invs.iter().filter(|inv| inv.state == State::OnCores).map(|inv| inv.since).min();
         let still = oldest.map_or(0, |since| self.now - since.max(self.last_progress));
         let failing = if self.failing.weight(self.now) > SEEN_FAILING { self.failing.mean() } else { 0.0 };
-        if still as f64 > usual * STALLED {
+        if still as f64 > self.longest_usual_run() * STALLED {
             1.0
         } else if failing > FAILING {
             failing.min(FAILING_MOST)
@@ -521,14 +518,13 @@
     fn make_calls(&mut self, host: &mut dyn Host) -> Option<()> {
         let room = match self.site.below {
             Below::Shared { share, .. } => (share * CROWD_SHARE).max(1.0),
-            _ => self.calls_limit.max(1.0),
+            _ => self.calls_limit,
         };
         if self.count(&[State::Calling]) + 1.0 > room || self.now < self.rest_below_until {
             return None;
         }
-        let at_call =
-            |inv: &Inv| inv.state == State::AtCall && !inv.answered && self.now >= inv.retry_call_at;
-        let i = self.first(at_call)?;
+        let ready = |inv: &Inv| inv.state == State::AtCall && !inv.answered && self.now >= inv.retry_call_at;
+        let i = self.first(ready)?;
         // One that failed is left out where the answer keeps some value without it.
         if self.invs[i].calls > 0 && self.site.operations[self.invs[i].operation].without_call_value > 0.0 {
             self.enter(i, State::OnCores);
@@ -539,9 +535,11 @@
         self.invs[i].calls += 1;
         let inv = &self.invs[i];
         let left = self.last_call_for(inv).saturating_sub(self.now).max(1);
-        let again = self.site.operations[inv.operation].effect == Effect::Idempotent;
         let patience = self.call_time.mean() * CALL_PATIENCE * f64::from(1 << inv.calls.min(8));
-        host.call(inv.id, if again && patience > 0.0 { left.min(patience as Nanos) } else { left });
+        host.call(
+            inv.id,
+            if self.is_idempotent(inv) && patience > 0.0 { left.min(patience as Nanos) } else { left },
+        );
         Some(())
     }
 
@@ -569,15 +567,15 @@
     }
 
     fn tell_callers(&mut self, host: &mut dyn Host) -> Option<()> {
-        let here = f64::from(self.leave.is_none());
-        let healthy = self.leave.is_none() && self.sick() <= UNHEALTHY;
+        let here = self.leave.is_none();
+        let healthy = here && self.sick() <= UNHEALTHY;
         let value = match self.site.advert {
-            Advert::Nothing => self.advertised,
-            Advert::Weight => (1.0 - self.refusal_ratio(0)) * self.warmth() * here,
-            Advert::Floor => 1.0 - here,
-            Advert::Allowance => self.limit * here,
+            Advert::Nothing => None,
+            Advert::Weight => Some((1.0 - self.refusal_ratio(0)) * self.warmth() * f64::from(here)),
+            Advert::Floor => Some(f64::from(!here)),
+            Advert::Allowance => Some(self.limit * f64::from(here)),
         };
-        if healthy == self.healthy && (value.is_nan() || value == self.advertised) {
+        if healthy == self.healthy && value == self.advertised {
             return None;
         }
         if healthy != self.healthy {
@@ -585,8 +583,8 @@
             host.health(healthy, !healthy);
             host.log(if healthy { "healthy" } else { "unhealthy" });
         }
-        if !value.is_nan() && value != self.advertised {
-            self.advertised = value;
+        if let Some(value) = value.filter(|_| value != self.advertised) {
+            self.advertised = Some(value);
             host.advertise(value);
         }
         Some(())
@@ -633,14 +631,19 @@
         self.count(&[State::AtCall, State::Calling]) > self.calls_limit
     }
 
+    fn longest_usual_run(&self) -> f64 {
+        self.learned.iter().map(|l| l.work.mean()).fold(0.0, f64::max)
+    }
+
+    fn is_idempotent(&self, inv: &Inv) -> bool {
+        self.site.operations[inv.operation].effect == Effect::Idempotent
+    }
+
     /// Share of its speed that a server which started cold has reached at the least.
     fn warmth(&self) -> f64 {
         let warmed = (self.now - self.born) as f64 / self.site.cold_for.max(1) as f64;
-        if self.site.cold {
-            (self.site.cold_speed + (1.0 - self.site.cold_speed) * warmed).min(1.0)
-        } else {
-            1.0
-        }
+        let speed = self.site.cold_speed + (1.0 - self.site.cold_speed) * warmed;
+        if self.site.cold { speed.min(1.0) } else { 1.0 }
     }
 
     /// Runs that may be open at once, cut while the server may still be cold.
@@ -657,9 +660,8 @@
     }
 
     fn hold_in_order(&self) -> Vec<usize> {
-        let mut order: Vec<usize> = (0..self.invs.len())
-            .filter(|i| self.invs[*i].state == State::Held && !self.invs[*i].answered)
-            .collect();
+        let mut order: Vec<usize> =
+            (0..self.invs.len()).filter(|i| self.invs[*i].state == State::Held).collect();
         order.sort_by_key(|i| (self.invs[*i].wanted, self.invs[*i].id));
         order
     }
@@ -674,7 +676,7 @@
         let usual = self.learned[inv.operation].whole.mean() * LEAST_CHANCE;
         match inv.state {
             State::Held => inv.wanted.saturating_sub(usual as Nanos),
-            _ if op.effect != Effect::Idempotent || op.late_value > 0.0 => inv.due,
+            _ if !self.is_idempotent(inv) || op.late_value > 0.0 => inv.due,
             _ => inv.wanted,
         }
     }
--- a/crates/simhost/src/settings.rs
+++ b/crates/simhost/src/settings.rs
@@ -149,7 +149,8 @@
         family-info.below=off\nfamily-info.preemption=freeze\nfamily-info.say=weight\n\
         family-info.cores=6\nfamily-info.memory-kb=1000\nfamily-info.run-factor=4\n\
         family-info.entry-kb=7\nfamily-info.own-stats=mem_used,cpu_busy\ncontract.drain-grace=2500000\n\
-        contract.grace-to-answer=60000\ncontract.fall-multiple=8.0\ncontract.cold-from=0.2\ncontract.cold=17000000\nsome.unknown=key\n";
+        contract.grace-to-answer=60000\ncontract.fall-multiple=8.0\n\
+        contract.cold-from=0.2\ncontract.cold=17000000\nsome.unknown=key\n";
 
     #[test]
     fn reads_what_decisions_need() {
