--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -188,6 +188,8 @@
         let prior = Plant { a: 0.0, b: [-REFERENCE; 2] };
         let fit = Fit::new(&prior, FIT_DOUBT, FIT_FORGETTING);
         let mut chance = ChaCha8Rng::seed_from_u64(seed);
+        let longest = site.operations.iter().map(|op| op.latency_objective).max().unwrap_or(PERIOD);
+        host.close_idle(longest.min(site.idle_max));
         host.wake(chance.random_range(0..PERIOD), TICK);
         Self {
             now,
--- a/crates/meadowstream/src/lib.rs
+++ b/crates/meadowstream/src/lib.rs
@@ -33,6 +33,8 @@
     fn health(&mut self, good: bool, stored: bool);
     /// The value that rides on answers (see [`Advert`]).
     fn advertise(&mut self, value: f64);
+    /// Close each connection that has carried nothing for this long.
+    fn close_idle(&mut self, after: Nanos);
     /// Call `woken` with this token after a while.
     fn wake(&mut self, after: Nanos, token: u32);
     fn log(&mut self, line: &str);
@@ -57,6 +59,8 @@
     pub below: Below,
     pub advert: Advert,
     pub stay_away_max: Nanos,
+    /// After this callers close idle connections by themselves.
+    pub idle_max: Nanos,
     /// Whether further tries and copies come marked.
     pub retries_marked: bool,
     pub drain_grace: Nanos,
--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -27,6 +27,7 @@
     most: usize,
     away: Nanos,
     advert: f64,
+    idle: Nanos,
     patience: Nanos,
 }
 
@@ -76,6 +77,9 @@
     fn advertise(&mut self, value: f64) {
         self.advert = value;
     }
+    fn close_idle(&mut self, after: Nanos) {
+        self.idle = after;
+    }
     fn wake(&mut self, after: Nanos, token: u32) {
         self.wakes.push((self.now + after, token));
     }
@@ -127,6 +131,7 @@
             below: Below::Tier,
             advert: Advert::Nothing,
             stay_away_max: 1000 * MS,
+            idle_max: 15_000 * MS,
             retries_marked: false,
             drain_grace: 1000 * MS,
             answer_grace: 50 * MS,
@@ -274,6 +279,7 @@
             "advert" => (self.seen.advert * 100.0).round(),
             "away" => (self.seen.away / MS) as f64,
             "patience" => (self.seen.patience / MS) as f64,
+            "idle" => (self.seen.idle / MS) as f64,
             "most" => self.seen.most as f64,
             _ => self.seen.results.iter().filter(|(is, inv)| *is == what && meant(*inv)).count() as f64,
         };
--- a/crates/simhost/src/codec.rs
+++ b/crates/simhost/src/codec.rs
@@ -206,6 +206,10 @@
         self.put(80, &[&(value as f32).to_le_bytes()]);
     }
 
+    fn close_idle(&mut self, after: Nanos) {
+        self.put(120, &[&micros(after)]);
+    }
+
     fn wake(&mut self, after: Nanos, token: u32) {
         self.put(20, &[&micros(after), &token.to_le_bytes()]);
     }
