--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -188,8 +188,6 @@
         let prior = Plant { a: 0.0, b: [-REFERENCE; 2] };
         let fit = Fit::new(&prior, FIT_DOUBT, FIT_FORGETTING);
         let mut chance = ChaCha8Rng::seed_from_u64(seed);
-        let longest = site.operations.iter().map(|op| op.latency_objective).max().unwrap_or(PERIOD);
-        host.close_idle(longest.min(site.idle_max));
         host.wake(chance.random_range(0..PERIOD), TICK);
         Self {
             now,
@@ -379,6 +377,9 @@
         let spared = self.values.len() < 3 || self.site.called_by_own;
         let rest = if spared { 0.0 } else { (basic - 1.0).max(0.0) * PREMIUM_PART };
         r.ratio = [premium + rest, basic].map(|ratio| ratio.clamp(0.0, 1.0));
+        // Who has no connection costs nothing: the more is refused, the longer idle ones stay.
+        let (most, least) = (self.site.idle_max as f64, PERIOD as f64 * 4.0);
+        host.close_idle(if self.reading.mean() < self.site.cores * READING_SHARE { least } else { most } as Nanos);
         if (before > 0.0) != (r.ratio[1] > 0.0) {
             host.log(if before > 0.0 { "refusing ends" } else { "refusing begins" });
         }
@@ -712,7 +713,7 @@
         let late = self.now >= self.last_call_for(&self.invs[i]);
         let again = self.site.retries_marked && self.invs[i].marked_retry;
         let pressed = self.regulator.ratio[1] > WALK;
-        let last = late || again || (pressed && !self.site.retries_marked);
+        let last = late || again || pressed;
         let inv = &mut self.invs[i];
         let effect = self.site.operations[inv.operation].effect;
         if effect == Effect::Idempotent || (!inv.ran && inv.repeats.is_none()) {
