--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -38,7 +38,7 @@
 const LEAST_CHANCE: f64 = 0.6;
 /// Share of the latency objective kept for the way back to the client.
 const WAY_BACK: f64 = 0.02;
-/// Refusal ratio of basic up to which a throttled invocation may be tried elsewhere.
+/// Refusal ratio of basic, or share of marked further tries, up to which a throttled invocation may be tried elsewhere.
 const WALK: f64 = 0.3;
 /// Seconds of its share that a tenant may send at once before it counts as over it.
 const SHARE_SECONDS: f64 = 5.0;
@@ -137,6 +137,7 @@
     limit: f64,
     unread_for: Decaying,
     reading: Decaying,
+    retried: Decaying,
     calls_limit: f64,
     call_time: Decaying,
     rest_below_until: Nanos,
@@ -199,6 +200,7 @@
             limit: site.cores,
             unread_for: Decaying::new(PERIOD / 2, now),
             reading: Decaying::new(PERIOD * 2, now),
+            retried: Decaying::new(PERIOD * 4, now),
             calls_limit: site.cores,
             call_time: Decaying::new(memory, now),
             rest_below_until: 0,
@@ -219,6 +221,7 @@
         self.now = now;
         let over_share = self.takes_more_than_its_share(arrival.tenant);
         self.unread_for.add(now, arrival.age as f64);
+        self.retried.add(now, f64::from(arrival.marked_retry));
         let op = &self.site.operations[arrival.operation];
         let reached = now.saturating_sub(arrival.age);
         let waits = arrival.patience.map_or(reached + op.client_timeout, |left| now + left);
@@ -712,8 +715,8 @@
     fn answer(&mut self, i: usize, stay_away: Nanos, host: &mut dyn Host) {
         let late = self.now >= self.last_call_for(&self.invs[i]);
         let again = self.site.retries_marked && self.invs[i].marked_retry;
-        let pressed = self.regulator.ratio[1] > WALK;
-        let last = late || again || pressed;
+        let pressed = if self.site.retries_marked { self.retried.mean() } else { self.regulator.ratio[1] };
+        let last = late || again || pressed > WALK;
         let inv = &mut self.invs[i];
         let effect = self.site.operations[inv.operation].effect;
         if effect == Effect::Idempotent || (!inv.ran && inv.repeats.is_none()) {
