--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -94,6 +94,8 @@
     due: Nanos,
     wanted: Nanos,
     held_kb: f64,
+    /// Its hinted cost as a ratio to the mean hint of its operation.
+    size: f64,
     repeats: Option<u64>,
     marked_retry: bool,
     state: State,
@@ -113,6 +115,7 @@
     work: Decaying,
     whole: Decaying,
     base: f64,
+    hint: Decaying,
 }
 
 struct Regulator {
@@ -184,7 +187,7 @@
         let learned = |op: &Operation| {
             let guess = op.latency_objective as f64 * FIRST_GUESS;
             let time = Decaying::starting_at(memory, now, guess, 1.0);
-            Learned { work: time.clone(), whole: time, base: f64::INFINITY }
+            Learned { work: time.clone(), whole: time, base: f64::INFINITY, hint: Decaying::new(memory, now) }
         };
         let prior = Plant { a: 0.0, b: [-REFERENCE; 2] };
         let fit = Fit::new(&prior, FIT_DOUBT, FIT_FORGETTING);
@@ -227,6 +230,9 @@
         let waits = arrival.patience.map_or(reached + op.client_timeout, |left| now + left);
         let wanted = reached + (op.latency_objective as f64 * (1.0 - WAY_BACK)) as Nanos;
         let value = op.billed_value * if over_share { self.site.over_share_value } else { 1.0 };
+        let hints = &mut self.learned[arrival.operation].hint;
+        arrival.hint.iter().for_each(|hint| hints.add(now, *hint as f64));
+        let size = arrival.hint.map_or(1.0, |hint| hint as f64 / hints.mean().max(1.0));
         // Kept while held already: a repeat that is read meanwhile must be known as one.
         if op.effect == Effect::Tokened && arrival.repeats.is_none() {
             host.remember(arrival.id, op.token_window);
@@ -240,6 +246,7 @@
             due: waits.max(now),
             wanted: wanted.min(waits),
             held_kb: arrival.held_kb,
+            size,
             repeats: arrival.repeats,
             marked_retry: arrival.marked_retry,
             since: now,
@@ -392,7 +399,7 @@
     /// periods of all cores. It belongs to the running sum, and leaves it as soon as the work is gone.
     fn backlog(&self) -> f64 {
         let held = self.invs.iter().filter(|inv| inv.state == State::Held);
-        let work: f64 = held.map(|inv| self.learned[inv.operation].work.mean()).sum();
+        let work: f64 = held.map(|inv| self.learned[inv.operation].work.mean() * inv.size).sum();
         let unread = (self.unread() - self.longest_usual_run() * UNREAD_USUAL).max(0.0);
         let calls = (self.count(&[State::AtCall, State::Calling]) / self.calls_limit - 1.0).max(0.0);
         (work / self.limit + unread + calls * self.call_time.mean()) / PERIOD as f64
@@ -509,8 +516,8 @@
             let inv = &self.invs[*i];
             let learned = &self.learned[inv.operation];
             let wait = if n < free { 0.0 } else { ahead / self.limit };
-            ahead += learned.work.mean();
-            if self.now as f64 + wait + learned.whole.mean() > inv.wanted as f64 && n >= free {
+            ahead += learned.work.mean() * inv.size;
+            if self.now as f64 + wait + learned.whole.mean() * inv.size > inv.wanted as f64 && n >= free {
                 let worth = |i: &&usize| (self.invs[**i].rank, Reverse(self.invs[**i].arrived), Reverse(**i));
                 let victim = *order[..=n].iter().min_by_key(worth)?;
                 self.answer(victim, PERIOD, host);
--- a/crates/meadowstream/src/lib.rs
+++ b/crates/meadowstream/src/lib.rs
@@ -138,6 +138,8 @@
     /// Marked as a further try or a copy.
     pub marked_retry: bool,
     pub held_kb: f64,
+    /// A guess of its cost in core time, where there is one.
+    pub hint: Option<Nanos>,
 }
 
 /// What the server measures of itself, where it does.
--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -235,6 +235,7 @@
                     repeats: given(words, "repeats").map(|text| number(text) as u64),
                     marked_retry: given(words, "retry").is_some(),
                     held_kb: get("kb", 10.0),
+                    hint: given(words, "hint").map(|text| number(text) as Nanos * MS),
                 };
                 self.operations.insert(arrival.id, arrival.operation);
                 brain.arrived(now, arrival, &mut self.seen);
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -100,6 +100,7 @@
         repeats: (repeats != 0).then_some(repeats),
         patience: (patience != 0).then_some(patience),
         marked_retry: flags & 2 != 0,
+        hint: (flags & 1 != 0).then(|| event.span(30)),
         held_kb: event.number(38)?,
         tenant: event.u32(42) as usize,
         operation: usize::from(event.u8(46)),
