--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -548,7 +548,7 @@
         self.invs[i].calls += 1;
         let inv = &self.invs[i];
         let left = self.last_call_for(inv).saturating_sub(self.now).max(1);
-        let patience = self.call_time.mean() * CALL_PATIENCE * f64::from(1 << inv.calls.min(8));
+        let patience = self.call_time.mean() * inv.size.max(1.0) * CALL_PATIENCE * f64::from(1 << inv.calls.min(8));
         host.call(
             inv.id,
             if self.is_idempotent(inv) && patience > 0.0 { left.min(patience as Nanos) } else { left },
