--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -388,8 +388,9 @@
         let rest = if spared { 0.0 } else { (basic - 1.0).max(0.0) * PREMIUM_PART };
         r.ratio = [premium + rest, basic].map(|ratio| ratio.clamp(0.0, 1.0));
         // Who has no connection costs nothing: the more is refused, the longer idle ones stay.
-        let (most, least) = (self.site.idle_max as f64, PERIOD as f64 * 4.0);
-        host.close_idle(if self.reading.mean() < self.site.cores * READING_SHARE { least } else { most } as Nanos);
+        let rate = self.retried.weight(self.now) * std::f64::consts::LN_2 / (PERIOD * 4) as f64;
+        let most = self.site.idle_max as f64;
+        host.close_idle((most * (rate * most * 2.0 / self.site.callers).powi(3).min(1.0)) as Nanos);
         if (before > 0.0) != (r.ratio[1] > 0.0) {
             host.log(if before > 0.0 { "refusing ends" } else { "refusing begins" });
         }
--- a/crates/meadowstream/src/lib.rs
+++ b/crates/meadowstream/src/lib.rs
@@ -49,6 +49,8 @@
     pub over_share_value: f64,
     /// Servers of this tier listed at start.
     pub peers: f64,
+    /// Callers of this tier at start.
+    pub callers: f64,
     /// Invocations here are calls of a tier above, which has already worked for them.
     pub called_by_own: bool,
     pub cores: f64,
--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -122,6 +122,7 @@
             tenant_allowance: Vec::new(),
             over_share_value: 0.1,
             peers: 1.0,
+            callers: 1.0,
             called_by_own: false,
             cores: 4.0,
             memory_kb: 1e6,
--- a/crates/simhost/src/settings.rs
+++ b/crates/simhost/src/settings.rs
@@ -118,6 +118,7 @@
         tenant_allowance,
         over_share_value: pairs.get_or("over-share-worth", 1.0)?,
         peers: pairs.number("peers-total")?.max(1.0),
+        callers: pairs.get_or("family-info.callers", 1.0f64)?.max(1.0),
         called_by_own: pairs.get_or("tier", 0u64)? > 0,
         cores: pairs.number("family-info.cores")?.max(1.0),
         memory_kb: pairs.number("family-info.memory-kb")?,
