--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -676,7 +676,7 @@
     fn hold_in_order(&self) -> Vec<usize> {
         let mut order: Vec<usize> =
             (0..self.invs.len()).filter(|i| self.invs[*i].state == State::Held).collect();
-        order.sort_by_key(|i| (self.invs[*i].wanted, self.invs[*i].id));
+        order.sort_by_key(|i| (Reverse(self.invs[*i].rank), self.invs[*i].wanted, self.invs[*i].id));
         order
     }
 
