--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -41,7 +41,7 @@
 /// Refusal ratio of basic, or share of marked further tries, up to which a throttled invocation may be tried elsewhere.
 const WALK: f64 = 0.3;
 /// Seconds of its share that a tenant may send at once before it counts as over it.
-const SHARE_SECONDS: f64 = 5.0;
+const SHARE_SECONDS: f64 = 15.0;
 /// Part of what basic cannot give that is asked of premium.
 const PREMIUM_PART: f64 = 0.4;
 /// Share of memory and of the survivable crowd that is used.
