--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -260,6 +260,7 @@
         if let Some(i) = self.find(id) {
             let ran = self.invs[i].state != State::Reusing;
             self.enter(i, State::Held);
+            self.invs[i].stopped = false;
             let inv = self.invs[i].clone();
             let ended = matches!(ending, Ending::Succeeded | Ending::Errored);
             if ended && ran {
@@ -564,17 +565,31 @@
         let open = self.count(&[State::OnCores, State::AtCall, State::Calling]);
         let share = if self.site.called_by_own { 0.0 } else { READING_SHARE };
         let limit = self.limit - self.reading.mean().min(self.site.cores * share);
+        let i = self.hold_in_order().into_iter().next()?;
         if self.running() + 1.0 > limit.min(self.crowd()).max(1.0) || open + 1.0 > self.crowd().max(1.0) {
+            if self.site.halting == Halting::Pauses {
+                let less = |j: &usize| {
+                    let other = &self.invs[*j];
+                    other.state == State::OnCores && !other.stopped && other.rank < self.invs[i].rank
+                };
+                let pausing = self.invs.iter().filter(|inv| inv.state == State::OnCores && inv.stopped).count();
+                if pausing == 0 {
+                    let j = (0..self.invs.len()).filter(less).min_by_key(|j| self.invs[*j].rank)?;
+                    self.invs[j].stopped = true;
+                    host.stop(self.invs[j].id);
+                }
+            }
             return None;
         }
-        let i = self.hold_in_order().into_iter().next()?;
-        let more = self.invs[i].held_kb * (self.site.run_memory - 1.0);
+        let paused = self.invs[i].ran && self.site.halting == Halting::Pauses;
+        let more = if paused { 0.0 } else { self.invs[i].held_kb * (self.site.run_memory - 1.0) };
         if self.memory_needed() + more > self.site.memory_kb * MEMORY_SHARE {
             return None;
         }
+        let inv = &mut self.invs[i];
+        inv.begun = if inv.ran { inv.begun + (self.now - inv.since) } else { self.now };
         self.enter(i, State::OnCores);
         let inv = &mut self.invs[i];
-        inv.begun = self.now;
         inv.ran = true;
         host.run(inv.id);
         Some(())
@@ -667,7 +682,8 @@
 
     fn memory_needed(&self) -> f64 {
         let times = |inv: &Inv| {
-            if matches!(inv.state, State::Held | State::Reusing) { 1.0 } else { self.site.run_memory }
+            let paused = inv.ran && self.site.halting == Halting::Pauses;
+            if !paused && matches!(inv.state, State::Held | State::Reusing) { 1.0 } else { self.site.run_memory }
         };
         let held: f64 = self.invs.iter().map(|inv| inv.held_kb * times(inv)).sum();
         held + self.tokens.len() as f64 * self.site.entry_kb
@@ -742,6 +758,7 @@
     /// Nothing more is owed; what still runs or calls stays until it ends.
     fn close(&mut self, i: usize) {
         self.invs[i].answered = true;
+        self.invs[i].stopped = false;
         if matches!(self.invs[i].state, State::Held | State::Reusing) {
             self.invs.remove(i);
         }
