--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -97,7 +97,6 @@
     /// Its hinted cost as a ratio to the mean hint of its operation.
     size: f64,
     repeats: Option<u64>,
-    marked_retry: bool,
     state: State,
     since: Nanos,
     begun: Nanos,
@@ -248,7 +247,6 @@
             held_kb: arrival.held_kb,
             size,
             repeats: arrival.repeats,
-            marked_retry: arrival.marked_retry,
             since: now,
             ..Inv::default()
         });
@@ -737,10 +735,9 @@
 
     /// The one final answer: throttled where nothing was done or nothing can happen twice, else errored.
     fn answer(&mut self, i: usize, stay_away: Nanos, host: &mut dyn Host) {
-        let late = self.now >= self.last_call_for(&self.invs[i]);
-        let again = self.site.retries_marked && self.invs[i].marked_retry;
+        let late = self.now >= self.invs[i].wanted;
         let pressed = if self.site.retries_marked { self.retried.mean() } else { self.regulator.ratio[1] };
-        let last = late || again || pressed > WALK;
+        let last = late || pressed > WALK;
         let inv = &mut self.invs[i];
         let effect = self.site.operations[inv.operation].effect;
         if effect == Effect::Idempotent || (!inv.ran && inv.repeats.is_none()) {
