--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -389,7 +389,10 @@
         // Who has no connection costs nothing: the more is refused, the longer idle ones stay.
         let rate = self.retried.weight(self.now) * std::f64::consts::LN_2 / (PERIOD * 4) as f64;
         let most = self.site.idle_max as f64;
-        host.close_idle((most * (rate * most * 2.0 / self.site.callers).powi(3).min(1.0)) as Nanos);
+        host.close_idle(
+            (most * (2.0 * rate * most / self.site.callers).min(1.0).powf(4.0 * (1.0 - self.retried.mean())))
+                as Nanos,
+        );
         if (before > 0.0) != (r.ratio[1] > 0.0) {
             host.log(if before > 0.0 { "refusing ends" } else { "refusing begins" });
         }
@@ -548,7 +551,8 @@
         self.invs[i].calls += 1;
         let inv = &self.invs[i];
         let left = self.last_call_for(inv).saturating_sub(self.now).max(1);
-        let patience = self.call_time.mean() * inv.size.max(1.0) * CALL_PATIENCE * f64::from(1 << inv.calls.min(8));
+        let patience =
+            self.call_time.mean() * inv.size.max(1.0) * CALL_PATIENCE * f64::from(1 << inv.calls.min(8));
         host.call(
             inv.id,
             if self.is_idempotent(inv) && patience > 0.0 { left.min(patience as Nanos) } else { left },
@@ -570,7 +574,8 @@
                     let other = &self.invs[*j];
                     other.state == State::OnCores && !other.stopped && other.rank < self.invs[i].rank
                 };
-                let pausing = self.invs.iter().filter(|inv| inv.state == State::OnCores && inv.stopped).count();
+                let pausing =
+                    self.invs.iter().filter(|inv| inv.state == State::OnCores && inv.stopped).count();
                 if pausing == 0 {
                     let j = (0..self.invs.len()).filter(less).min_by_key(|j| self.invs[*j].rank)?;
                     self.invs[j].stopped = true;
@@ -681,7 +686,11 @@
     fn memory_needed(&self) -> f64 {
         let times = |inv: &Inv| {
             let paused = inv.ran && self.site.halting == Halting::Pauses;
-            if !paused && matches!(inv.state, State::Held | State::Reusing) { 1.0 } else { self.site.run_memory }
+            if !paused && matches!(inv.state, State::Held | State::Reusing) {
+                1.0
+            } else {
+                self.site.run_memory
+            }
         };
         let held: f64 = self.invs.iter().map(|inv| inv.held_kb * times(inv)).sum();
         held + self.tokens.len() as f64 * self.site.entry_kb
