--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -151,6 +151,7 @@
     alarm_at: Nanos,
     advertised: Option<f64>,
     healthy: bool,
+    shut: bool,
 }
 
 /// A condition and an effect; `None` where the condition does not hold.
@@ -214,6 +215,7 @@
             alarm_at: Nanos::MAX,
             advertised: None,
             healthy: true,
+            shut: false,
             values,
             site,
         }
@@ -340,6 +342,7 @@
             let busy = gauges.busy.unwrap_or(running / self.site.cores).min(1.0);
             self.learn_limit(busy);
             self.regulate(busy, host);
+            self.set_idle_limit(host);
             self.period_start = now;
         } else if now >= self.alarm_at {
             self.alarm_at = Nanos::MAX;
@@ -386,18 +389,25 @@
         let spared = self.values.len() < 3 || self.site.called_by_own;
         let rest = if spared { 0.0 } else { (basic - 1.0).max(0.0) * PREMIUM_PART };
         r.ratio = [premium + rest, basic].map(|ratio| ratio.clamp(0.0, 1.0));
-        // Who has no connection costs nothing: the more is refused, the longer idle ones stay.
-        let rate = self.retried.weight(self.now) * std::f64::consts::LN_2 / (PERIOD * 4) as f64;
-        let most = self.site.idle_max as f64;
-        host.close_idle(
-            (most * (2.0 * rate * most / self.site.callers).min(1.0).powf(4.0 * (1.0 - self.retried.mean())))
-                as Nanos,
-        );
         if (before > 0.0) != (r.ratio[1] > 0.0) {
             host.log(if before > 0.0 { "refusing ends" } else { "refusing begins" });
         }
     }
 
+    /// Idle connections are closed at once where a caller comes back only after longer than they may stay.
+    fn set_idle_limit(&mut self, host: &mut dyn Host) {
+        let most = self.site.idle_max as f64;
+        let rate = self.retried.weight(self.now) * std::f64::consts::LN_2 / (PERIOD * 4) as f64;
+        let returns = (rate * most / self.site.callers).min(1.0);
+        if self.unread() > self.longest_usual_run() * UNREAD_USUAL {
+            self.shut = true;
+        } else if self.regulator.output < REFERENCE * 0.5 {
+            self.shut = false;
+        }
+        let idle = if self.shut { most } else { (most * returns.powi(4)).max(PERIOD as f64) };
+        host.close_idle(idle.min(most) as Nanos);
+    }
+
     /// The error that the gauge hid, since it ends at 1: work that stands unread or in the hold, in
     /// periods of all cores. It belongs to the running sum, and leaves it as soon as the work is gone.
     fn backlog(&self) -> f64 {
