--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -401,7 +401,7 @@
         let returns = (rate * most / self.site.callers).min(1.0);
         if self.unread() > self.longest_usual_run() * UNREAD_USUAL {
             self.shut = true;
-        } else if self.regulator.output < REFERENCE * 0.5 {
+        } else if self.regulator.output < REFERENCE * 0.25 {
             self.shut = false;
         }
         let idle = if self.shut { most } else { (most * returns.powi(4)).max(PERIOD as f64) };
