--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -16,16 +16,16 @@
 
 /// The control period: the span that the gauge looks back over.
 const PERIOD: Nanos = 500_000_000;
-/// Busy share of the cores to steer to.
+/// Busy share of the cores to steer to, and under which they idle.
 const REFERENCE: f64 = 0.9;
+const IDLE: f64 = 0.25;
 /// Usual time unread as a share of a run's, and the share of the shortest objective that is a flood.
 const UNREAD_USUAL: f64 = 0.5;
 const FLOODED: f64 = 0.25;
 /// Weights of error and running sum, and of refusing premium and basic (the paper's).
 const STATE_WEIGHTS: [f64; 2] = [1.0, 1.0];
 const INPUT_WEIGHTS: [f64; 2] = [0.1, 0.001];
-const RICCATI_STEPS: usize = 200;
-const RICCATI_TOLERANCE: f64 = 1e-6;
+const RICCATI: (usize, f64) = (200, 1e-6);
 /// The fit: doubt in the prior, forgetting, and how much rtr must have varied before it is believed.
 const FIT_DOUBT: f64 = 1.0;
 const FIT_FORGETTING: f64 = 0.97;
@@ -34,21 +34,16 @@
 const MEMORY_PERIODS: u64 = 16;
 /// Before anything is learned a run is taken to need this share of its latency objective.
 const FIRST_GUESS: f64 = 0.15;
-/// A run is hopeless when less than this share of its usual time is left.
-const LEAST_CHANCE: f64 = 0.6;
 /// Share of the latency objective kept for the way back to the client.
 const WAY_BACK: f64 = 0.02;
-/// Refusal ratio of basic, or share of marked further tries, up to which a throttled invocation may be tried elsewhere.
+/// A throttled one may be tried elsewhere up to this refusal ratio of basic, or share of marked tries.
 const WALK: f64 = 0.3;
 /// Seconds of its share that a tenant may send at once before it counts as over it.
 const SHARE_SECONDS: f64 = 15.0;
-/// Part of what basic cannot give that is asked of premium.
-const PREMIUM_PART: f64 = 0.4;
 /// Share of memory and of the survivable crowd that is used.
 const MEMORY_SHARE: f64 = 0.85;
 const CROWD_SHARE: f64 = 0.7;
-/// The limit of calls in hand: its growth for each good call while it binds, as a share of the cores, and
-/// its cut for each call that was turned away.
+/// The limit of calls: growth in cores for each good call while it binds, cut for each one turned away.
 const CALLS_UP: f64 = 0.1;
 const CALLS_DOWN: f64 = 0.93;
 /// A call that may be repeated is given up after this many usual call times, twice as many each time.
@@ -63,10 +58,9 @@
 const SLOWED: f64 = 1.3;
 /// Growth of the learned base for each run, so that it follows a lasting change.
 const BASE_DRIFT: f64 = 1.005;
-/// Share of runs that fail: to act on, most kept away for it, for bad health; and runs to have seen.
+/// Share of runs that fail: to act on, and most kept away for it; and runs to have seen.
 const FAILING: f64 = 0.25;
 const FAILING_MOST: f64 = 0.9;
-const UNHEALTHY: f64 = 0.5;
 const SEEN_FAILING: f64 = 2.0;
 /// Nothing moved on the cores for this many usual run times: they stand still.
 const STALLED: f64 = 6.0;
@@ -161,7 +155,6 @@
 const RULES: &[Rule] = &[
     Brain::answer_what_is_due,
     Brain::stop_what_nobody_wants,
-    Brain::refuse_while_leaving,
     Brain::refuse_in_the_window,
     Brain::refuse_beyond_memory,
     Brain::reuse_for_repeats,
@@ -189,10 +182,8 @@
             let time = Decaying::starting_at(memory, now, guess, 1.0);
             Learned { work: time.clone(), whole: time, base: f64::INFINITY, hint: Decaying::new(memory, now) }
         };
-        let prior = Plant { a: 0.0, b: [-REFERENCE; 2] };
-        let fit = Fit::new(&prior, FIT_DOUBT, FIT_FORGETTING);
-        let mut chance = ChaCha8Rng::seed_from_u64(seed);
-        host.wake(chance.random_range(0..PERIOD), TICK);
+        let fit = Fit::new(&Plant { a: 0.0, b: [-REFERENCE; 2] }, FIT_DOUBT, FIT_FORGETTING);
+        host.wake(ChaCha8Rng::seed_from_u64(seed).random_range(0..PERIOD), TICK);
         Self {
             now,
             born: now,
@@ -249,6 +240,7 @@
             held_kb: arrival.held_kb,
             size,
             repeats: arrival.repeats,
+            judged: arrival.repeats.is_some(),
             since: now,
             ..Inv::default()
         });
@@ -370,42 +362,32 @@
         r.output = output;
         let prior = Plant { a: 0.0, b: [-output.max(REFERENCE); 2] };
         let fitted = r.fit.plant();
-        // Guards against a fit bent by retries, a neighbour or a cold start: one of the wrong sign,
-        // or that is not stable by itself, is not believed.
+        // Retries, a neighbour or a cold start bend it: of the wrong sign or unstable it is not believed.
         let sound =
             r.varied > EXCITED && fitted.a.abs() < 1.0 && fitted.b.iter().all(|b| (-2.0..-0.2).contains(b));
-        let gains = |plant| lq::gains(&plant, STATE_WEIGHTS, INPUT_WEIGHTS, RICCATI_STEPS, RICCATI_TOLERANCE);
+        let gains = |plant| lq::gains(&plant, STATE_WEIGHTS, INPUT_WEIGHTS, RICCATI.0, RICCATI.1);
         let k = gains(if sound { fitted } else { prior }).or_else(|| gains(prior)).unwrap_or([[0.0; 2]; 2]);
         let frozen = (r.ratio[1] >= 1.0 && error > 0.0) || (r.ratio[1] <= 0.0 && error < 0.0);
-        if !frozen {
-            r.sum += error;
-        }
-        let most = if k[1][1] > 0.0 { 1.0 / k[1][1] } else { 0.0 };
-        r.sum = r.sum.clamp(0.0, most);
+        r.sum += if frozen { 0.0 } else { error };
+        r.sum = r.sum.clamp(0.0, if k[1][1] > 0.0 { 1.0 / k[1][1] } else { 0.0 });
         let before = r.ratio[1];
         let [premium, basic] = k.map(|row| row[0] * error + row[1] * (r.sum + backlog));
-        // The design's gap: what is spared can overload the server by itself. What basic, wholly refused,
-        // cannot give is asked of premium, unless that is the top rank or the tier carries sunk work.
-        let spared = self.values.len() < 3 || self.site.called_by_own;
-        let rest = if spared { 0.0 } else { (basic - 1.0).max(0.0) * PREMIUM_PART };
-        r.ratio = [premium + rest, basic].map(|ratio| ratio.clamp(0.0, 1.0));
+        r.ratio = [premium, basic].map(|ratio| ratio.clamp(0.0, 1.0));
         if (before > 0.0) != (r.ratio[1] > 0.0) {
             host.log(if before > 0.0 { "refusing ends" } else { "refusing begins" });
         }
     }
 
-    /// Idle connections are closed at once where a caller comes back only after longer than they may stay.
+    /// Idle connections stay where callers come back before they would close them, else go at once. But once
+    /// reading is in arrears, who finds none costs nothing: all stay until the cores idle. Guards against
+    /// full tables and storms of tries in fleets of many callers; harms where few callers come in turns.
     fn set_idle_limit(&mut self, host: &mut dyn Host) {
         let most = self.site.idle_max as f64;
-        let rate = self.retried.weight(self.now) * std::f64::consts::LN_2 / (PERIOD * 4) as f64;
-        let returns = (rate * most / self.site.callers).min(1.0);
-        if self.unread() > self.longest_usual_run() * UNREAD_USUAL {
-            self.shut = true;
-        } else if self.regulator.output < REFERENCE * 0.25 {
-            self.shut = false;
-        }
-        let idle = if self.shut { most } else { (most * returns.powi(4)).max(PERIOD as f64) };
-        host.close_idle(idle.min(most) as Nanos);
+        let returns = (self.retried.rate(self.now) * most / 1e9 / self.site.callers).min(1.0);
+        let arrears = self.unread() > self.longest_usual_run() * UNREAD_USUAL;
+        self.shut = arrears || (self.shut && self.regulator.output > IDLE);
+        let stay = if self.shut { 1.0 } else { returns.powi(4) };
+        host.close_idle((most * stay).max(PERIOD as f64).min(most) as Nanos);
     }
 
     /// The error that the gauge hid, since it ends at 1: work that stands unread or in the hold, in
@@ -456,40 +438,23 @@
 
     // ---- Rules ----
 
-    /// Rule 1: everything read is answered by its due time, even if its work still runs; and as soon as
-    /// an answer in time is out of reach, since later it earns nothing.
+    /// Rule 1: all read is answered by its due time, and as soon as an answer in time is out of reach.
     fn answer_what_is_due(&mut self, host: &mut dyn Host) -> Option<()> {
         let i = self.first(|inv| !inv.answered && self.now >= self.last_call_for(inv))?;
-        self.answer(i, PERIOD, host);
-        Some(())
+        self.answer(i, PERIOD, host)
     }
 
     /// Work that nobody can use any more leaves the cores, where that can be done.
     fn stop_what_nobody_wants(&mut self, host: &mut dyn Host) -> Option<()> {
-        if self.site.halting == Halting::Impossible {
-            return None;
-        }
-        let i = self.first(|inv| inv.answered && !inv.stopped && inv.state == State::OnCores)?;
-        self.invs[i].stopped = true;
-        host.stop(self.invs[i].id);
-        Some(())
-    }
-
-    /// Rule 3: what arrives later than the grace after the notice is not run.
-    fn refuse_while_leaving(&mut self, host: &mut dyn Host) -> Option<()> {
-        let (last, _) = self.leave?;
-        let i = self.first(|inv| inv.state == State::Held && inv.arrived > last)?;
-        self.answer(i, PERIOD, host);
-        Some(())
+        let useless = |inv: &Inv| inv.answered && !inv.stopped && inv.state == State::OnCores;
+        let i = self.first(useless).filter(|_| self.site.halting != Halting::Impossible)?;
+        self.stop(i, host)
     }
 
     /// The design's actuator: arrivals in the first rtr of the period are refused, by rank.
     fn refuse_in_the_window(&mut self, host: &mut dyn Host) -> Option<()> {
         let i = self.first(|inv| !inv.judged)?;
         self.invs[i].judged = true;
-        if self.invs[i].repeats.is_some() {
-            return Some(());
-        }
         let window = (self.refusal_ratio(self.invs[i].rank) * PERIOD as f64) as Nanos;
         let passed = self.now - self.period_start;
         if passed < window {
@@ -507,8 +472,7 @@
         }
         let held = (0..self.invs.len()).filter(|i| self.invs[*i].state == State::Held);
         let i = held.min_by_key(|i| (self.invs[*i].rank, Reverse(*i)))?;
-        self.answer(i, PERIOD, host);
-        Some(())
+        self.answer(i, PERIOD, host)
     }
 
     /// Rule 2: a repeat of what was kept is answered from its forerunner, not run.
@@ -528,13 +492,12 @@
         for (n, i) in order.iter().enumerate() {
             let inv = &self.invs[*i];
             let learned = &self.learned[inv.operation];
-            let wait = if n < free { 0.0 } else { ahead / self.limit };
+            let end = self.now as f64 + ahead / self.limit + learned.whole.mean() * inv.size;
             ahead += learned.work.mean() * inv.size;
-            if self.now as f64 + wait + learned.whole.mean() * inv.size > inv.wanted as f64 && n >= free {
+            if end > inv.wanted as f64 && n >= free {
                 let worth = |i: &&usize| (self.invs[**i].rank, Reverse(self.invs[**i].arrived), Reverse(**i));
                 let victim = *order[..=n].iter().min_by_key(worth)?;
-                self.answer(victim, PERIOD, host);
-                return Some(());
+                return self.answer(victim, PERIOD, host);
             }
         }
         None
@@ -563,72 +526,67 @@
         let left = self.last_call_for(inv).saturating_sub(self.now).max(1);
         let patience =
             self.call_time.mean() * inv.size.max(1.0) * CALL_PATIENCE * f64::from(1 << inv.calls.min(8));
-        host.call(
-            inv.id,
-            if self.is_idempotent(inv) && patience > 0.0 { left.min(patience as Nanos) } else { left },
-        );
+        let repeatable = self.is_idempotent(inv) && patience > 0.0;
+        host.call(inv.id, if repeatable { left.min(patience as Nanos) } else { left });
         Some(())
     }
 
     fn run_next(&mut self, host: &mut dyn Host) -> Option<()> {
-        if self.calls_full() {
+        let i = self.hold_in_order().into_iter().next()?;
+        let inv = &self.invs[i];
+        let more = inv.held_kb * self.site.run_memory - self.memory_of(inv);
+        if self.calls_full() || self.memory_needed() + more > self.site.memory_kb * MEMORY_SHARE {
             return None;
         }
         let open = self.count(&[State::OnCores, State::AtCall, State::Calling]);
         let share = if self.site.called_by_own { 0.0 } else { READING_SHARE };
         let limit = self.limit - self.reading.mean().min(self.site.cores * share);
-        let i = self.hold_in_order().into_iter().next()?;
         if self.running() + 1.0 > limit.min(self.crowd()).max(1.0) || open + 1.0 > self.crowd().max(1.0) {
-            if self.site.halting == Halting::Pauses {
-                let less = |j: &usize| {
-                    let other = &self.invs[*j];
-                    other.state == State::OnCores && !other.stopped && other.rank < self.invs[i].rank
-                };
-                let pausing =
-                    self.invs.iter().filter(|inv| inv.state == State::OnCores && inv.stopped).count();
-                if pausing == 0 {
-                    let j = (0..self.invs.len()).filter(less).min_by_key(|j| self.invs[*j].rank)?;
-                    self.invs[j].stopped = true;
-                    host.stop(self.invs[j].id);
-                }
-            }
-            return None;
-        }
-        let paused = self.invs[i].ran && self.site.halting == Halting::Pauses;
-        let more = if paused { 0.0 } else { self.invs[i].held_kb * (self.site.run_memory - 1.0) };
-        if self.memory_needed() + more > self.site.memory_kb * MEMORY_SHARE {
-            return None;
+            return self.pause_for(self.invs[i].rank, host);
         }
         let inv = &mut self.invs[i];
+        // What was paused goes on: the pause is no part of its run.
         inv.begun = if inv.ran { inv.begun + (self.now - inv.since) } else { self.now };
-        self.enter(i, State::OnCores);
-        let inv = &mut self.invs[i];
         inv.ran = true;
         host.run(inv.id);
+        self.enter(i, State::OnCores);
+        Some(())
+    }
+
+    /// A worthier one finds the cores full: the least worthy run is paused, one at a time, where that loses
+    /// no work. Guards against floods of one tenant or of cheap operations; harms where pausing is dear.
+    fn pause_for(&mut self, rank: usize, host: &mut dyn Host) -> Option<()> {
+        let lesser = |inv: &&Inv| inv.state == State::OnCores && inv.rank < rank && self.is_idempotent(inv);
+        let pausing = self.first(|inv| inv.state == State::OnCores && inv.stopped);
+        let id = self.invs.iter().filter(lesser).min_by_key(|inv| inv.rank)?.id;
+        let i = self.find(id).filter(|_| pausing.is_none() && self.site.halting == Halting::Pauses)?;
+        self.stop(i, host)
+    }
+
+    fn stop(&mut self, i: usize, host: &mut dyn Host) -> Option<()> {
+        self.invs[i].stopped = true;
+        host.stop(self.invs[i].id);
         Some(())
     }
 
     fn tell_callers(&mut self, host: &mut dyn Host) -> Option<()> {
         let here = self.leave.is_none();
-        let healthy = here && self.sick() <= UNHEALTHY;
+        let healthy = here && self.sick() <= 0.0;
         let value = match self.site.advert {
             Advert::Nothing => None,
             Advert::Weight => Some((1.0 - self.refusal_ratio(0)) * self.warmth() * f64::from(here)),
             Advert::Floor => Some(f64::from(!here)),
             Advert::Allowance => Some(self.limit * f64::from(here)),
         };
-        if healthy == self.healthy && value == self.advertised {
-            return None;
-        }
         if healthy != self.healthy {
             self.healthy = healthy;
             host.health(healthy, !healthy);
             host.log(if healthy { "healthy" } else { "unhealthy" });
+            return Some(());
         }
-        if let Some(value) = value.filter(|_| value != self.advertised) {
-            self.advertised = Some(value);
-            host.advertise(value);
-        }
+        let value = value.filter(|_| value != self.advertised)?;
+        self.advertised = Some(value);
+        host.advertise(value);
         Some(())
     }
 
@@ -693,17 +651,16 @@
         self.site.cores * (1.0 + (self.site.survivable_crowd - 1.0) * self.warmth()) * CROWD_SHARE
     }
 
+    /// A paused run keeps the memory of a running one.
+    fn memory_of(&self, inv: &Inv) -> f64 {
+        let paused = inv.ran && self.site.halting == Halting::Pauses;
+        let waits = !paused && matches!(inv.state, State::Held | State::Reusing);
+        inv.held_kb * if waits { 1.0 } else { self.site.run_memory }
+    }
+
     fn memory_needed(&self) -> f64 {
-        let times = |inv: &Inv| {
-            let paused = inv.ran && self.site.halting == Halting::Pauses;
-            if !paused && matches!(inv.state, State::Held | State::Reusing) {
-                1.0
-            } else {
-                self.site.run_memory
-            }
-        };
-        let held: f64 = self.invs.iter().map(|inv| inv.held_kb * times(inv)).sum();
-        held + self.tokens.len() as f64 * self.site.entry_kb
+        let invs: f64 = self.invs.iter().map(|inv| self.memory_of(inv)).sum();
+        invs + self.tokens.len() as f64 * self.site.entry_kb
     }
 
     fn hold_in_order(&self) -> Vec<usize> {
@@ -713,19 +670,20 @@
         order
     }
 
+    /// Until when an answer may wait: its due time, the stop, or (held too long, or late) its last chance.
+    /// Rule 3: what arrives later than the grace after the notice is not run.
     fn last_call_for(&self, inv: &Inv) -> Nanos {
-        let stop = self.leave.map_or(Nanos::MAX, |(_, stop)| stop.saturating_sub(2 * self.site.answer_grace));
-        inv.due.min(stop).min(self.hopeless_from(inv))
-    }
-
-    fn hopeless_from(&self, inv: &Inv) -> Nanos {
         let op = &self.site.operations[inv.operation];
-        let usual = self.learned[inv.operation].whole.mean() * LEAST_CHANCE;
-        match inv.state {
-            State::Held => inv.wanted.saturating_sub(usual as Nanos),
+        let chance = match inv.state {
+            State::Held => inv.wanted.saturating_sub(self.learned[inv.operation].whole.mean() as Nanos),
             _ if !self.is_idempotent(inv) || op.late_value > 0.0 => inv.due,
             _ => inv.wanted,
-        }
+        };
+        let leaving = self.leave.map_or(Nanos::MAX, |(last, stop)| {
+            let run = inv.state != State::Held || inv.arrived <= last;
+            if run { stop.saturating_sub(2 * self.site.answer_grace) } else { 0 }
+        });
+        inv.due.min(leaving).min(chance)
     }
 
     /// How long invocations lie unread of late; it fades when none come.
@@ -745,18 +703,15 @@
         let seconds = (self.now - *at) as f64 / 1e9;
         *room = (*room + rate * seconds).min((rate * SHARE_SECONDS).max(1.0));
         *at = self.now;
-        if *room < 1.0 {
-            return true;
-        }
-        *room -= 1.0;
-        false
+        let over = *room < 1.0;
+        *room -= f64::from(!over);
+        over
     }
 
     /// The one final answer: throttled where nothing was done or nothing can happen twice, else errored.
-    fn answer(&mut self, i: usize, stay_away: Nanos, host: &mut dyn Host) {
-        let late = self.now >= self.invs[i].wanted;
+    fn answer(&mut self, i: usize, stay_away: Nanos, host: &mut dyn Host) -> Option<()> {
         let pressed = if self.site.retries_marked { self.retried.mean() } else { self.regulator.ratio[1] };
-        let last = late || pressed > WALK;
+        let last = self.now >= self.invs[i].wanted || pressed > WALK;
         let inv = &mut self.invs[i];
         let effect = self.site.operations[inv.operation].effect;
         if effect == Effect::Idempotent || (!inv.ran && inv.repeats.is_none()) {
@@ -769,6 +724,7 @@
             self.tokens.retain(|(id, _)| *id != inv.id);
         }
         self.close(i);
+        Some(())
     }
 
     /// Nothing more is owed; what still runs or calls stays until it ends.
--- a/crates/meadowstream/src/decay.rs
+++ b/crates/meadowstream/src/decay.rs
@@ -40,8 +40,8 @@
         self.weight * self.kept(now)
     }
 
-    /// Sum for each second, as a steady flow would show it.
-    pub fn per_second(&self, now: Nanos) -> f64 {
-        self.sum * self.kept(now) * std::f64::consts::LN_2 * 1e9 / self.half_life as f64
+    /// Observations a second, as a steady flow would show it.
+    pub fn rate(&self, now: Nanos) -> f64 {
+        self.weight(now) * std::f64::consts::LN_2 * 1e9 / self.half_life as f64
     }
 }
