--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -384,8 +384,7 @@
     fn set_idle_limit(&mut self, host: &mut dyn Host) {
         let most = self.site.idle_max as f64;
         let returns = (self.retried.rate(self.now) * most / 1e9 / self.site.callers).min(1.0);
-        let arrears = self.unread() > self.longest_usual_run() * UNREAD_USUAL;
-        self.shut = arrears || (self.shut && self.regulator.output > IDLE);
+        self.shut = self.arrears() > 0.0 || (self.shut && self.regulator.output > IDLE);
         let stay = if self.shut { 1.0 } else { returns.powi(4) };
         host.close_idle((most * stay).max(PERIOD as f64).min(most) as Nanos);
     }
@@ -395,9 +394,8 @@
     fn backlog(&self) -> f64 {
         let held = self.invs.iter().filter(|inv| inv.state == State::Held);
         let work: f64 = held.map(|inv| self.learned[inv.operation].work.mean() * inv.size).sum();
-        let unread = (self.unread() - self.longest_usual_run() * UNREAD_USUAL).max(0.0);
         let calls = (self.count(&[State::AtCall, State::Calling]) / self.calls_limit - 1.0).max(0.0);
-        (work / self.limit + unread + calls * self.call_time.mean()) / PERIOD as f64
+        (work / self.limit + self.arrears() + calls * self.call_time.mean()) / PERIOD as f64
     }
 
     /// Share of the period in which arrivals of a rank are refused: the lowest is basic, the next premium.
@@ -691,6 +689,10 @@
         self.unread_for.mean() * self.unread_for.weight(self.now).min(1.0)
     }
 
+    fn arrears(&self) -> f64 {
+        (self.unread() - self.longest_usual_run() * UNREAD_USUAL).max(0.0)
+    }
+
     /// Reading alone overloads the server: only callers that stay away can help it.
     fn is_flooded(&self) -> bool {
         let objective = self.site.operations.iter().map(|op| op.latency_objective).min().unwrap_or(PERIOD);
@@ -729,8 +731,7 @@
 
     /// Nothing more is owed; what still runs or calls stays until it ends.
     fn close(&mut self, i: usize) {
-        self.invs[i].answered = true;
-        self.invs[i].stopped = false;
+        (self.invs[i].answered, self.invs[i].stopped) = (true, false);
         if matches!(self.invs[i].state, State::Held | State::Reusing) {
             self.invs.remove(i);
         }
