--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -65,7 +65,7 @@
 /// Nothing moved on the cores for this many usual run times: they stand still.
 const STALLED: f64 = 6.0;
 
-const TICK: u32 = 0;
+pub const TICK: u32 = 0;
 const ALARM: u32 = 1;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- /dev/null
+++ b/crates/server/src/lifecycle/configuration.rs
@@ -0,0 +1,89 @@
+//! What the server is told at its start, from one JSON file.
+
+use anyhow::{Context, Result, anyhow, bail, ensure};
+use meadowstream::{Effect, Halting};
+use meadowstream_settings::Read;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::Path;
+
+pub struct Configuration {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub interpreter: SocketAddr,
+    pub catalog: SocketAddr,
+    /// Where calls go; the last tier makes none.
+    pub records: Option<SocketAddr>,
+    pub seed: u64,
+    /// From the notice to leave to the stop, in milliseconds.
+    pub stop_ms: u64,
+    pub memory_mb: u64,
+    pub sockets: usize,
+    pub settings: Read,
+}
+
+impl Configuration {
+    pub fn load(path: &Path) -> Result<Self> {
+        let text =
+            std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
+        Self::read(&text)
+    }
+
+    pub fn read(text: &str) -> Result<Self> {
+        let file: Value = serde_json::from_str(text).context("not JSON")?;
+        let at = |path: &str| {
+            let place = path.split('.').try_fold(&file, |value, name| value.get(name));
+            place.with_context(|| format!("{path} is missing"))
+        };
+        let text = |path: &str| at(path)?.as_str().with_context(|| format!("{path} is no text"));
+        let address = |path: &str| {
+            let given = text(path)?;
+            given.parse::<SocketAddr>().map_err(|_| anyhow!("{path}: {given:?} is no address with a port"))
+        };
+        let whole = |path: &str| at(path)?.as_u64().with_context(|| format!("{path} is no whole number"));
+        let seed = text("seed")?;
+        let name = text("name")?;
+        ensure!(!name.is_empty() && !name.contains(char::is_whitespace), "name: {name:?} is not one word");
+        let records = at("records").is_ok_and(|value| !value.is_null()).then(|| address("records"));
+        let configuration = Self {
+            name: name.to_string(),
+            listen: address("listen")?,
+            interpreter: address("vm")?,
+            catalog: address("directory")?,
+            records: records.transpose()?,
+            seed: u64::from_str_radix(seed, 16).map_err(|_| anyhow!("seed: {seed:?} is not hexadecimal"))?,
+            stop_ms: whole("stop_ms")?,
+            memory_mb: whole("limits.memory_mb")?,
+            sockets: whole("limits.sockets")? as usize,
+            settings: meadowstream_settings::read_json(at("settings")?).context("settings")?,
+        };
+        configuration.refuse_what_the_wire_cannot_carry()?;
+        Ok(configuration)
+    }
+
+    /// Rather than half do it: the protocol has no token, no tenant, no pausing and no leaving out.
+    fn refuse_what_the_wire_cannot_carry(&self) -> Result<()> {
+        let site = &self.settings.deployment;
+        for (i, op) in site.operations.iter().enumerate() {
+            ensure!(op.effect != Effect::Tokened, "settings: grades.{i}.effect: tokens are not on this wire");
+            let without = op.without_call_value;
+            ensure!(
+                without <= 0.0,
+                "settings: family-info.degraded-worth: no call can be left out on this wire"
+            );
+        }
+        ensure!(
+            site.halting != Halting::Pauses,
+            "settings: family-info.preemption: pausing is not on this wire"
+        );
+        ensure!(site.tenant_allowance.is_empty(), "settings: orgs: tenants are not on this wire");
+        ensure!(
+            self.settings.share_reads_for == 0,
+            "settings: family-info.share-for: reads are not shared on this wire"
+        );
+        if self.records.is_none() && site.below != meadowstream::Below::Nothing {
+            bail!("records is missing, though settings: family-info.below names a tier");
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/server/src/lifecycle/mod.rs
@@ -0,0 +1,8 @@
+//! Start and stop: what the server is told, the tasks it consists of, signals and the drain.
+
+pub mod clock;
+pub mod configuration;
+pub mod drain;
+pub mod signals;
+pub mod start;
+pub mod tasks;
--- /dev/null
+++ b/crates/server/src/lifecycle/start.rs
@@ -0,0 +1,53 @@
+//! The start: one thread, one executor, the tasks.
+
+use super::tasks::{Input, Server, accept, catalog, decisions::Decisions, link};
+use super::{clock::Clock, configuration::Configuration, drain, signals};
+use crate::memory::connections::{Connections, Standing};
+use crate::memory::{counters::Counters, pool::Pool};
+use anyhow::{Context, Result};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use std::cell::Cell;
+use std::net::TcpListener;
+use std::rc::Rc;
+use tracing::info;
+
+/// Inputs that may wait for the module; who brings more waits until it is their turn.
+const INPUTS: usize = 1024;
+
+pub fn serve(configuration: Configuration) -> Result<()> {
+    let executor: &'static LocalExecutor = Box::leak(Box::new(LocalExecutor::new()));
+    async_io::block_on(executor.run(run(configuration, executor)))
+}
+
+async fn run(configuration: Configuration, executor: &'static LocalExecutor<'static>) -> Result<()> {
+    let signals = signals::subscribe()?;
+    let listener = Async::<TcpListener>::bind(configuration.listen);
+    let listener = listener.with_context(|| format!("cannot listen on {}", configuration.listen))?;
+    info!(name = configuration.name, listen = %listener.get_ref().local_addr()?, "started");
+    let (inputs, queue) = async_channel::bounded::<Input>(INPUTS);
+    let (stay, left) = async_channel::bounded(1);
+    let pool = Pool::new(accept::reserve(&configuration) / 2);
+    let server = Rc::new(Server {
+        configuration,
+        clock: Clock::start(),
+        executor,
+        inputs,
+        connections: Connections::default(),
+        standing: Standing {
+            healthy: Cell::new(true),
+            advertised: Cell::new(None),
+            leaving: Cell::new(false),
+        },
+        pool,
+        counters: Counters::default(),
+        left,
+    });
+    executor.spawn(signals::heed(server.clone(), signals, stay)).detach();
+    executor.spawn(link::keep(server.clone())).detach();
+    executor.spawn(catalog::report(server.clone())).detach();
+    executor.spawn(Decisions::new(server.clone()).run(queue)).detach();
+    drain::over(&server, accept::accept(server.clone(), listener)).await;
+    info!("ended; counters:{}", server.counters);
+    Ok(())
+}
--- /dev/null
+++ b/crates/server/src/lifecycle/tasks/accept.rs
@@ -0,0 +1,68 @@
+//! Takes connections in until the server leaves.
+
+use super::{Server, connection};
+use crate::lifecycle::configuration::Configuration;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::warn;
+
+/// Part of the descriptors that is kept for the link, calls and the catalog.
+const RESERVE: usize = 8;
+/// Part of the memory that buffers of connections may fill.
+const BUFFERS: u64 = 2;
+/// After a failure to accept it is tried again this much later.
+const PAUSE: Duration = Duration::from_millis(10);
+
+pub fn reserve(configuration: &Configuration) -> usize {
+    configuration.sockets / RESERVE
+}
+
+fn most(configuration: &Configuration) -> usize {
+    let by_memory = configuration.memory_mb * (1 << 20) / BUFFERS / connection::BUFFERED_MAX as u64;
+    configuration.sockets.saturating_sub(reserve(configuration)).min(by_memory as usize).max(1)
+}
+
+/// Ends with the listener closed. Guards what the kernel accepted: all of it is taken in first.
+pub async fn accept(server: Rc<Server>, listener: Async<TcpListener>) {
+    let most = most(&server.configuration);
+    let mut full = false;
+    while !server.standing.leaving.get() {
+        if server.connections.count() >= most {
+            if !full {
+                warn!(most, "no room for another connection");
+            }
+            full = true;
+            server.connections.idle_enough(server.clock.now());
+            Timer::after(PAUSE).await;
+            continue;
+        }
+        full = false;
+        let leaves = async {
+            let _ = server.left.recv().await;
+            None
+        };
+        match future::or(leaves, async { Some(listener.accept().await) }).await {
+            None => {}
+            Some(Ok((stream, _))) => take_in(&server, stream),
+            Some(Err(error)) => {
+                // Out of descriptors, most likely: idle connections make room.
+                server.counters.accepts_failed.add();
+                warn!(%error, "cannot accept");
+                server.connections.idle_enough(server.clock.now());
+                Timer::after(PAUSE).await;
+            }
+        }
+    }
+    server.connections.all_enough();
+    while let Ok(stream) = listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream)) {
+        take_in(&server, stream);
+    }
+}
+
+fn take_in(server: &Rc<Server>, stream: Async<TcpStream>) {
+    server.counters.connections_opened.add();
+    server.executor.spawn(connection::serve(server.clone(), stream)).detach();
+}
--- /dev/null
+++ b/crates/server/src/lifecycle/tasks/catalog.rs
@@ -0,0 +1,39 @@
+//! Reports to the catalog, from the interpreter's start to the notice to leave.
+
+use super::Server;
+use crate::wire::catalog;
+use async_io::{Async, Timer};
+use std::net::UdpSocket;
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::warn;
+
+/// A third of the 3 s after which the catalog forgets a server.
+const EVERY: Duration = Duration::from_secs(1);
+/// Before the module has started it is looked this often whether it has.
+const LOOK: Duration = Duration::from_millis(50);
+
+pub async fn report(server: Rc<Server>) {
+    let to = server.configuration.catalog;
+    let any = std::net::SocketAddr::new(server.configuration.listen.ip(), 0);
+    let socket = match Async::<UdpSocket>::bind(any) {
+        Ok(socket) => socket,
+        Err(error) => return warn!(%error, "no socket for the catalog"),
+    };
+    let mut trouble = false;
+    while !server.standing.leaving.get() {
+        if server.counters.links.get() == 0 {
+            Timer::after(LOOK).await;
+            continue;
+        }
+        let report = catalog::report(&server.configuration.name, server.standing.healthy.get());
+        // Nothing waits for it: what cannot be sent now is not sent.
+        let sent = socket.get_ref().send_to(report.as_bytes(), to);
+        if let (Err(error), false) = (&sent, trouble) {
+            warn!(%error, "cannot report to the catalog");
+        }
+        trouble = sent.is_err();
+        server.counters.catalog_reports.add();
+        Timer::after(EVERY).await;
+    }
+}
--- /dev/null
+++ b/crates/server/src/lifecycle/tasks/decisions.rs
@@ -0,0 +1,447 @@
+//! The one task that owns the module: inputs and times go in, what is decided goes out to its owners.
+
+use super::call::{self, Call};
+use super::{Input, Server};
+use crate::memory::connections::Told;
+use crate::memory::invocations::{Invocation, Invocations, Sent};
+use crate::wire::interpreter::{self, Notice};
+use crate::wire::resp::WORD_MAX;
+use crate::wire::rpc::Answer;
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::future;
+use meadowstream::brain::{Brain, TICK};
+use meadowstream::{Arrival, Ending, Gauges, Host, Nanos};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::rc::Rc;
+use tracing::{info, warn};
+
+/// A wake that wants gauges goes without when none have come after this long: guards against a link that
+/// is down or an interpreter that does not answer. Harms where gauges are always late: the module would
+/// then steer by its own count of runs.
+const GAUGES_WITHIN: Nanos = 250_000_000;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Wake {
+    Module(u32),
+    GaugesLate(u64),
+}
+
+pub struct Decisions {
+    brain: Option<Brain>,
+    hands: Hands,
+}
+
+/// All that the module's decisions act on.
+struct Hands {
+    server: Rc<Server>,
+    invocations: Invocations,
+    /// Where commands go while there is a link, and how many links there have been.
+    commands: Option<Sender<Vec<u8>>>,
+    link: u64,
+    wakes: BinaryHeap<Reverse<(Nanos, u64, Wake)>>,
+    /// Numbers given to wakes, calls and questions.
+    last: u64,
+    /// The question whose answer ends what a new link replays.
+    fence: Option<u64>,
+    /// The question for gauges and the wake that waits for them.
+    asked: Option<(u64, u32)>,
+    /// Ended here though the module did not mean to; it is told next.
+    cut_off: Vec<u64>,
+}
+
+impl Decisions {
+    pub fn new(server: Rc<Server>) -> Self {
+        let hands = Hands {
+            server,
+            invocations: Invocations::default(),
+            commands: None,
+            link: 0,
+            wakes: BinaryHeap::new(),
+            last: 0,
+            fence: None,
+            asked: None,
+            cut_off: Vec::new(),
+        };
+        Self { brain: None, hands }
+    }
+
+    pub async fn run(mut self, inputs: Receiver<Input>) {
+        loop {
+            self.wake_what_is_due();
+            let next = self.hands.wakes.peek().map(|Reverse((at, ..))| *at);
+            let due = async {
+                match next {
+                    Some(at) => drop(Timer::at(self.hands.server.clock.instant(at)).await),
+                    None => future::pending().await,
+                }
+                None
+            };
+            if let Some(input) = future::or(async { inputs.recv().await.ok() }, due).await {
+                self.take(input);
+            }
+        }
+    }
+
+    fn with_brain(&mut self, act: impl FnOnce(&mut Brain, Nanos, &mut Hands)) {
+        let Some(brain) = &mut self.brain else { return };
+        let hands = &mut self.hands;
+        act(brain, hands.server.clock.now(), hands);
+        while let Some(inv) = hands.cut_off.pop() {
+            brain.caller_gone(hands.server.clock.now(), inv, hands);
+        }
+    }
+
+    fn wake_what_is_due(&mut self) {
+        let now = self.hands.server.clock.now();
+        while let Some(Reverse((at, _, wake))) = self.hands.wakes.peek().copied()
+            && at <= now
+        {
+            self.hands.wakes.pop();
+            match wake {
+                Wake::Module(token) if token == TICK => self.hands.ask_gauges(token),
+                Wake::Module(token) => self.woken(token, Gauges::default()),
+                Wake::GaugesLate(nonce) => {
+                    if let Some((_, token)) = self.hands.asked.take_if(|asked| asked.0 == nonce) {
+                        self.hands.server.counters.gauges_late.add();
+                        self.woken(token, Gauges::default());
+                    }
+                }
+            }
+        }
+    }
+
+    fn woken(&mut self, token: u32, gauges: Gauges) {
+        self.with_brain(|brain, now, hands| brain.woken(now, token, gauges, hands));
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Arrived { connection, tag, operation, reference, since, held_kb, body } => {
+                let invocation = Invocation {
+                    reference,
+                    operation,
+                    body,
+                    connection,
+                    tag,
+                    answered: false,
+                    runs: false,
+                    unconfirmed: None,
+                    stopping: None,
+                    asked: Vec::new(),
+                    call: None,
+                };
+                self.arrived(invocation, since, held_kb);
+            }
+            Input::Broken(connection) => {
+                for inv in self.hands.invocations.open_on(connection) {
+                    self.hands.server.counters.unanswered.add();
+                    self.hands.over(inv);
+                    self.with_brain(|brain, now, hands| brain.caller_gone(now, inv, hands));
+                }
+            }
+            Input::Linked { cold, age, commands } => self.linked(cold, age, commands),
+            Input::LinkLost => self.hands.commands = None,
+            Input::Noticed(notice) => self.noticed(notice),
+            Input::CallEnded { inv, number, ending, reply, took } => {
+                if self.hands.call_ended(inv, number, ending, &reply) {
+                    self.with_brain(|brain, now, hands| brain.call_ended(now, inv, ending, took, hands));
+                }
+            }
+            Input::Leave => {
+                let grace = self.hands.server.configuration.stop_ms * 1_000_000;
+                self.with_brain(|brain, now, hands| brain.told_to_leave(now, grace, hands));
+            }
+        }
+    }
+
+    fn arrived(&mut self, invocation: Invocation, since: u64, held_kb: f64) {
+        let (operation, tag, connection) =
+            (invocation.operation, invocation.tag, invocation.connection.clone());
+        let id = self.brain.as_ref().and_then(|_| self.hands.invocations.take_in(invocation));
+        let Some(id) = id else {
+            // Before the module has started none should come; a reference in hand would be run as another.
+            self.hands.server.counters.errored.add();
+            connection.tell(Told::Answer(tag, Answer::Errored));
+            return;
+        };
+        let age = self.hands.server.clock.age(since);
+        let arrival = Arrival { id, operation, age, held_kb, ..Arrival::default() };
+        self.with_brain(|brain, now, hands| brain.arrived(now, arrival, hands));
+    }
+
+    fn linked(&mut self, cold: bool, age: Nanos, commands: Sender<Vec<u8>>) {
+        self.hands.commands = Some(commands);
+        self.hands.link += 1;
+        info!(cold, age_ms = age / 1_000_000, links = self.hands.link, "linked to the interpreter");
+        if self.brain.is_some() {
+            let nonce = self.hands.number();
+            self.hands.fence = Some(nonce);
+            self.hands.send(interpreter::ask_gauges(nonce));
+            return;
+        }
+        let configuration = &self.hands.server.configuration;
+        let (mut deployment, seed) = (configuration.settings.deployment.clone(), configuration.seed);
+        deployment.cold = cold;
+        let born = self.hands.server.clock.now().saturating_sub(age);
+        self.brain = Some(Brain::new(deployment, seed, born, &mut self.hands));
+        if self.hands.server.standing.leaving.get() {
+            self.take(Input::Leave);
+        }
+    }
+
+    fn noticed(&mut self, notice: Notice) {
+        match notice {
+            Notice::Ended { task, ending, result } => {
+                let Some(inv) = self.hands.invocations.find(task) else { return };
+                self.hands.run_ended(inv, ending, result);
+                self.with_brain(|brain, now, hands| brain.finished(now, inv, ending, hands));
+                self.hands.invocations.release(inv);
+            }
+            Notice::Awaits { task, body } => {
+                let Some(inv) = self.hands.invocations.find(task) else { return };
+                self.hands.server.counters.awaits.add();
+                let invocation = self.hands.invocations.get(inv).expect("found just now");
+                (invocation.asked, invocation.unconfirmed) = (body, None);
+                self.with_brain(|brain, now, hands| brain.needs_call(now, inv, hands));
+            }
+            Notice::Gauges { nonce, readings } => {
+                if self.hands.fence.take_if(|fence| *fence == nonce).is_some() {
+                    self.hands.send_again();
+                } else if let Some((_, token)) = self.hands.asked.take_if(|asked| asked.0 == nonce) {
+                    let settings = &self.hands.server.configuration.settings;
+                    let gauge = |place: Option<usize>| place.and_then(|i| readings.get(i).copied());
+                    let (busy, wanting) = (gauge(settings.busy_gauge), gauge(settings.wanting_gauge));
+                    self.woken(token, Gauges { busy, wanting });
+                }
+            }
+            Notice::NotDone { command, task } => {
+                self.hands.server.counters.commands_not_done.add();
+                warn!(command, task = task.map(|id| format!("{id:016x}")), "the interpreter did not do it");
+                // It will never run: an error, since asking again would bring the same.
+                if command == "APPLY"
+                    && let Some(task) = task
+                {
+                    self.noticed(Notice::Ended { task, ending: Ending::Errored, result: Vec::new() });
+                }
+            }
+            Notice::Banner { .. } | Notice::Remark => {}
+        }
+    }
+}
+
+impl Hands {
+    fn number(&mut self) -> u64 {
+        self.last += 1;
+        self.last
+    }
+
+    /// False where there is no link; what is still wanted goes out on the next.
+    fn send(&mut self, line: Vec<u8>) -> bool {
+        let sent = self.commands.as_ref().is_some_and(|commands| commands.try_send(line).is_ok());
+        if !sent {
+            self.commands = None;
+        }
+        sent
+    }
+
+    /// Sends a command that the run goes on by, and keeps it until a notice shows that it was taken.
+    fn send_for(&mut self, inv: u64, line: Vec<u8>) {
+        let link = self.link * u64::from(self.send(line.clone()));
+        if let Some(invocation) = self.invocations.get(inv) {
+            invocation.unconfirmed = Some(Sent { line, link });
+        }
+    }
+
+    /// What a lost link may have swallowed is sent once more. Guards against runs that nobody has begun;
+    /// a run that goes on already passes over it.
+    fn send_again(&mut self) {
+        let link = self.link;
+        let mut lines = Vec::new();
+        for invocation in self.invocations.iter_mut().filter(|invocation| invocation.runs) {
+            if let Some(sent) = invocation.unconfirmed.as_mut().filter(|sent| sent.link < link) {
+                sent.link = link;
+                lines.push(sent.line.clone());
+            }
+            if let Some(sent) = invocation.stopping.as_mut().filter(|sent| **sent < link) {
+                *sent = link;
+                lines.push(interpreter::stop(invocation.reference));
+            }
+        }
+        for line in lines {
+            self.server.counters.commands_sent_again.add();
+            self.send(line);
+        }
+    }
+
+    fn ask_gauges(&mut self, token: u32) {
+        let nonce = self.number();
+        self.asked = Some((nonce, token));
+        self.server.pool.close_old();
+        self.server.counters.gauges_asked.add();
+        self.send(interpreter::ask_gauges(nonce));
+        self.put_wake(GAUGES_WITHIN, Wake::GaugesLate(nonce));
+    }
+
+    fn put_wake(&mut self, after: Nanos, wake: Wake) {
+        let number = self.number();
+        self.wakes.push(Reverse((self.server.clock.now() + after, number, wake)));
+    }
+
+    /// Gives the final answer, unless one was given.
+    fn answer(&mut self, inv: u64, answer: Answer) {
+        let Some(invocation) = self.invocations.get(inv) else { return };
+        if invocation.answered {
+            self.server.counters.late_results.add();
+            return;
+        }
+        let counters = &self.server.counters;
+        match &answer {
+            Answer::Succeeded(_) => counters.succeeded.add(),
+            Answer::Throttled { .. } => counters.throttled.add(),
+            _ => counters.errored.add(),
+        }
+        invocation.connection.tell(Told::Answer(invocation.tag, answer));
+        self.over(inv);
+    }
+
+    /// Nothing more is owed; a call under way is given up.
+    fn over(&mut self, inv: u64) {
+        if let Some(invocation) = self.invocations.get(inv) {
+            invocation.answered = true;
+            self.drop_call(inv);
+            self.invocations.release(inv);
+        }
+    }
+
+    fn drop_call(&mut self, inv: u64) {
+        let call = self.invocations.get(inv).and_then(|invocation| invocation.call.take());
+        if call.is_some() {
+            self.server.counters.calls_dropped.add();
+        }
+    }
+
+    fn run_ended(&mut self, inv: u64, ending: Ending, result: Vec<u8>) {
+        self.server.counters.runs_ended.add();
+        self.drop_call(inv);
+        match ending {
+            Ending::Succeeded if result.len() <= WORD_MAX => self.answer(inv, Answer::Succeeded(result)),
+            Ending::Succeeded | Ending::Errored => self.answer(inv, Answer::Errored),
+            _ => {}
+        }
+        if let Some(invocation) = self.invocations.get(inv) {
+            (invocation.runs, invocation.unconfirmed, invocation.stopping) = (false, None, None);
+        }
+    }
+
+    /// False for a call that is not under way any more.
+    fn call_ended(&mut self, inv: u64, number: u64, ending: Ending, reply: &[u8]) -> bool {
+        let Some(invocation) = self.invocations.get(inv) else { return false };
+        if invocation.call.take_if(|call| call.0 == number).is_none() {
+            return false;
+        }
+        let counters = &self.server.counters;
+        match ending {
+            Ending::Succeeded => counters.calls_succeeded.add(),
+            Ending::Errored => counters.calls_errored.add(),
+            Ending::NeverRan => counters.calls_never_ran.add(),
+            _ => counters.calls_unknown.add(),
+        }
+        if ending == Ending::Succeeded {
+            counters.replies_sent.add();
+            let line = interpreter::resolve(invocation.reference, reply);
+            invocation.asked = Vec::new();
+            self.send_for(inv, line);
+        }
+        true
+    }
+
+    /// What this wire cannot carry was refused at the start; should it be asked for all the same, the
+    /// invocation ends with an error.
+    fn cannot(&mut self, inv: u64, what: &str) {
+        warn!(what, "not on this wire");
+        self.answer(inv, Answer::Errored);
+        self.stop(inv);
+        self.cut_off.push(inv);
+    }
+}
+
+impl Host for Hands {
+    fn run(&mut self, inv: u64) {
+        let Some(invocation) = self.invocations.get(inv) else { return };
+        invocation.runs = true;
+        let (reference, operation) = (invocation.reference, invocation.operation);
+        let body = std::mem::take(&mut invocation.body);
+        let operation = &self.server.configuration.settings.operation_names[operation];
+        let line = interpreter::apply(reference, operation, &body);
+        if let Some(invocation) = self.invocations.get(inv) {
+            invocation.body = body;
+        }
+        self.server.counters.runs_sent.add();
+        self.send_for(inv, line);
+    }
+
+    fn stop(&mut self, inv: u64) {
+        let Some(invocation) = self.invocations.get(inv).filter(|invocation| invocation.runs) else { return };
+        let line = interpreter::stop(invocation.reference);
+        self.server.counters.stops_sent.add();
+        let sent = self.link * u64::from(self.send(line));
+        if let Some(invocation) = self.invocations.get(inv) {
+            invocation.stopping = Some(sent);
+        }
+    }
+
+    fn throttle(&mut self, inv: u64, no_retry: bool, stay_away: Nanos) {
+        self.answer(inv, Answer::Throttled { no_retry, stay_away });
+    }
+
+    fn give_up(&mut self, inv: u64) {
+        self.answer(inv, Answer::Errored);
+    }
+
+    fn call(&mut self, inv: u64, timeout: Nanos) {
+        let Some(to) = self.server.configuration.records else { return self.cannot(inv, "a call") };
+        let number = self.number();
+        let Some(invocation) = self.invocations.get(inv) else { return };
+        let (reference, body) = (invocation.reference, invocation.asked.clone());
+        let call = Call { inv, number, reference, timeout, body };
+        let task = self.server.executor.spawn(call::make(self.server.clone(), to, call));
+        invocation.call = Some((number, task));
+        self.server.counters.calls.add();
+    }
+
+    fn skip_call(&mut self, inv: u64) {
+        self.cannot(inv, "leaving a call out");
+    }
+
+    fn remember(&mut self, _inv: u64, _life: Nanos) {
+        warn!("tokens are not on this wire");
+    }
+
+    fn forget(&mut self, _inv: u64) {}
+
+    fn reuse(&mut self, inv: u64) {
+        self.cannot(inv, "answering a repeat from its forerunner");
+    }
+
+    fn health(&mut self, good: bool, _stored: bool) {
+        self.server.standing.healthy.set(good);
+    }
+
+    fn advertise(&mut self, value: f64) {
+        self.server.standing.advertised.set(Some(value));
+    }
+
+    fn close_idle(&mut self, after: Nanos) {
+        self.server.connections.idle_enough(self.server.clock.now().saturating_sub(after));
+    }
+
+    fn wake(&mut self, after: Nanos, token: u32) {
+        self.put_wake(after, Wake::Module(token));
+    }
+
+    fn log(&mut self, line: &str) {
+        info!("{line}");
+    }
+}
--- /dev/null
+++ b/crates/server/src/memory/counters.rs
@@ -0,0 +1,41 @@
+//! Counts of all that is taken in, sent and answered, since the start.
+
+use std::cell::Cell;
+use std::fmt;
+
+macro_rules! counters {
+    ($($name:ident)*) => {
+        #[derive(Default)]
+        pub struct Counters { $(pub $name: Count),* }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+                $(write!(out, concat!(" ", stringify!($name), "={}"), self.$name.0.get())?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+#[derive(Default)]
+pub struct Count(Cell<u64>);
+
+impl Count {
+    pub fn add(&self) {
+        self.0.set(self.0.get() + 1);
+    }
+
+    pub fn get(&self) -> u64 {
+        self.0.get()
+    }
+}
+
+counters! {
+    connections_opened connections_closed accepts_failed enough_sent
+    invocations health_checks bad_commands malformed
+    succeeded throttled errored unanswered late_results
+    runs_sent stops_sent runs_ended awaits replies_sent commands_sent_again commands_not_done
+    links notices bad_notices gauges_asked gauges_late
+    calls calls_succeeded calls_errored calls_never_ran calls_unknown calls_dropped
+    catalog_reports
+}
--- a/crates/simhost/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -1,15 +1,18 @@
-//! Reads a deployment from the `path=value` lines a new instance starts with.
+//! Reads a deployment, from the `path=value` lines a simulated instance starts with or from the same
+//! object as nested JSON, which is first laid out as such lines.
 
 use anyhow::{Context, Result, anyhow, bail};
 use meadowstream::{Advert, Below, Deployment, Effect, Halting, Nanos, Operation};
+use serde_json::Value;
 use std::collections::HashMap;
 use std::str::FromStr;
 
-struct Pairs<'a>(HashMap<&'a str, &'a str>);
+#[derive(Default)]
+struct Pairs(HashMap<String, String>);
 
-impl<'a> Pairs<'a> {
-    fn text(&self, path: &str) -> Result<&'a str> {
-        self.0.get(path).copied().with_context(|| format!("setting {path} is missing"))
+impl Pairs {
+    fn text(&self, path: &str) -> Result<&str> {
+        self.0.get(path).map(String::as_str).with_context(|| format!("setting {path} is missing"))
     }
 
     fn get<T: FromStr>(&self, path: &str) -> Result<T> {
@@ -44,9 +47,37 @@
         found.map(|(_, choice)| *choice).with_context(|| format!("setting {path}: unknown choice {text:?}"))
     }
 
-    fn list(&self, path: &str) -> Vec<&'a str> {
+    fn list(&self, path: &str) -> Vec<&str> {
         self.0.get(path).map(|text| text.split(',').filter(|x| !x.is_empty()).collect()).unwrap_or_default()
     }
+
+    /// Lays out nested JSON: lists of plain values are joined by commas, lists of objects counted.
+    fn lay_out(&mut self, path: &str, value: &Value) {
+        let below = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+        match value {
+            Value::Null => {}
+            Value::Object(fields) => {
+                fields.iter().for_each(|(name, field)| self.lay_out(&below(name), field));
+            }
+            Value::Array(items) if items.iter().any(Value::is_object) => {
+                self.0.insert(below("count"), items.len().to_string());
+                items.iter().enumerate().for_each(|(i, item)| self.lay_out(&below(&i.to_string()), item));
+            }
+            Value::Array(items) => {
+                let texts: Vec<String> = items.iter().map(plain).collect();
+                self.0.insert(path.to_string(), texts.join(","));
+            }
+            _ => {
+                self.0.insert(path.to_string(), plain(value));
+            }
+        }
+    }
+}
+
+/// Spaces and commas become `_`, as in the lines.
+fn plain(value: &Value) -> String {
+    let text = value.as_str().map_or_else(|| value.to_string(), str::to_string);
+    text.replace([' ', ','], "_")
 }
 
 /// A deployment, and where among the gauges those stand that the module reads.
@@ -54,16 +85,30 @@
     pub deployment: Deployment,
     pub busy_gauge: Option<usize>,
     pub wanting_gauge: Option<usize>,
+    /// What the operations are called, in the order of the deployment's.
+    pub operation_names: Vec<String>,
+    /// How long the answer of a read may be handed to others.
+    pub share_reads_for: Nanos,
+}
+
+pub fn read_json(settings: &Value) -> Result<Read> {
+    let mut pairs = Pairs::default();
+    pairs.lay_out("", settings);
+    decode(&pairs)
 }
 
 pub fn read(config: &str) -> Result<Read> {
-    let mut pairs = Pairs(HashMap::new());
+    let mut pairs = Pairs::default();
     for line in config.lines().filter(|line| !line.is_empty()) {
         let (path, value) = line.split_once('=').with_context(|| format!("setting {line:?} has no '='"))?;
-        pairs.0.insert(path, value);
+        pairs.0.insert(path.to_string(), value.to_string());
     }
+    decode(&pairs)
+}
+
+fn decode(pairs: &Pairs) -> Result<Read> {
     let without_call = pairs.list("family-info.degraded-worth");
-    let mut operations = Vec::new();
+    let (mut operations, mut operation_names) = (Vec::new(), Vec::new());
     for i in 0..pairs.get::<usize>("grades.count")? {
         let at = |field: &str| format!("grades.{i}.{field}");
         let effects = [
@@ -76,6 +121,7 @@
             Some(text) => text.parse().with_context(|| format!("family-info.degraded-worth: {text:?}"))?,
             None => 0.0,
         };
+        operation_names.push(pairs.get_or(&at("name"), i.to_string())?);
         operations.push(Operation {
             effect,
             latency_objective: pairs.span(&at("target"))?,
@@ -139,7 +185,13 @@
     };
     let gauges = pairs.list("family-info.own-stats");
     let place = |name: &str| gauges.iter().position(|gauge| *gauge == name);
-    Ok(Read { deployment, busy_gauge: place("cpu_busy"), wanting_gauge: place("runnable") })
+    Ok(Read {
+        deployment,
+        busy_gauge: place("cpu_busy"),
+        wanting_gauge: place("runnable"),
+        operation_names,
+        share_reads_for: pairs.span_or("family-info.share-for", 0)?,
+    })
 }
 
 #[cfg(test)]
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -2,7 +2,6 @@
 //! standard input and output. It decides nothing.
 
 mod codec;
-mod settings;
 
 use anyhow::{Context, Result, bail, ensure};
 use codec::{Batch, Event, Reply};
@@ -28,7 +27,7 @@
         let code = event.u8(0);
         reply.speaks(instance);
         if code == 10 {
-            let read = settings::read(event.text(9)?)?;
+            let read = meadowstream_settings::read(event.text(9)?)?;
             let (operations, tenants) =
                 (read.deployment.operations.len(), read.deployment.tenant_allowance.len());
             let brain = Brain::new(read.deployment, event.u64(1), now, reply);
