Connections count from the moment they are accepted; scenarios of the server against stand-ins

Seen: a scenario with 16 descriptors never reached the server's own bound on connections. Cause: accept.rs spawned the task and only that task entered the connection, so the accept loop, which does not yield while the backlog holds some, counted none of them; the drain asks the same count before it ends.

--- a/crates/server/src/lifecycle/tasks/accept.rs
+++ b/crates/server/src/lifecycle/tasks/accept.rs
@@ -4,7 +4,7 @@
 use crate::lifecycle::configuration::Configuration;
 use async_io::{Async, Timer};
 use futures_lite::future;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
 use tracing::warn;
@@ -46,7 +46,7 @@
         };
         match future::or(leaves, async { Some(listener.accept().await) }).await {
             None => {}
-            Some(Ok((stream, _))) => take_in(&server, stream),
+            Some(Ok((stream, _))) => connection::take_in(&server, stream),
             Some(Err(error)) => {
                 // Out of descriptors, most likely: idle connections make room.
                 server.counters.accepts_failed.add();
@@ -58,11 +58,6 @@
     }
     server.connections.all_enough();
     while let Ok(stream) = listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream)) {
-        take_in(&server, stream);
+        connection::take_in(&server, stream);
     }
 }
-
-fn take_in(server: &Rc<Server>, stream: Async<TcpStream>) {
-    server.counters.connections_opened.add();
-    server.executor.spawn(connection::serve(server.clone(), stream)).detach();
-}
--- a/crates/server/src/lifecycle/tasks/connection.rs
+++ b/crates/server/src/lifecycle/tasks/connection.rs
@@ -4,8 +4,9 @@
 use crate::memory::connections::{Connection, OPEN_MAX, Told};
 use crate::wire::{Parsed, resp, ring::Ring, rpc};
 use async_channel::Receiver;
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::future;
+use meadowstream::Nanos;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -16,6 +17,9 @@
 const OUT_MAX: usize = (OPEN_MAX + 1) * ANSWER_MAX;
 /// What the two rings of a connection can grow to.
 pub const BUFFERED_MAX: usize = resp::ARRAY_MAX + OUT_MAX;
+/// Once it has heard `enough` a peer closes when all is answered; where it does not, this much later the
+/// connection is closed here. Guards descriptors; a call cannot cross it, since none is sent after `enough`.
+const LINGER: Nanos = 1_000_000_000;
 /// Read at once.
 const CHUNK: usize = 8 * 1024;
 
@@ -32,8 +36,19 @@
     deaf: bool,
 }
 
-pub async fn serve(server: Rc<Server>, stream: Async<TcpStream>) {
+/// Counts the connection from now on, before its task has run: nothing that was accepted is overlooked.
+pub fn take_in(server: &Rc<Server>, stream: Async<TcpStream>) {
+    server.counters.connections_opened.add();
     let (connection, hears) = server.connections.open(server.clock.now());
+    server.executor.spawn(serve(server.clone(), stream, connection, hears)).detach();
+}
+
+async fn serve(
+    server: Rc<Server>,
+    stream: Async<TcpStream>,
+    connection: Rc<Connection>,
+    hears: Receiver<Told>,
+) {
     let _ = stream.get_ref().set_nodelay(true);
     if server.standing.leaving.get() {
         connection.enough();
@@ -82,7 +97,13 @@
                 self.stream.writable().await.map(|()| (false, None))
             };
             let told = async { Ok((false, self.hears.recv().await.ok())) };
-            let (read, told) = future::or(told, future::or(writable, readable)).await?;
+            let end = async {
+                let Some(end) = self.ends_at() else { future::pending().await };
+                Timer::at(self.server.clock.instant(end)).await;
+                Err(ErrorKind::TimedOut.into())
+            };
+            let any = future::or(told, future::or(writable, future::or(readable, end)));
+            let (read, told) = any.await?;
             told.map_or(Ok(()), |told| self.say(told))?;
             if read {
                 self.read()?;
@@ -96,6 +117,17 @@
         owed < OPEN_MAX && self.outgoing.room() >= (owed + 2) * ANSWER_MAX
     }
 
+    /// When the peer has had its time to read what is written, or to close what is to go. Guards against
+    /// peers that do neither; harms one that stands still for as long as the most patient client waits.
+    fn ends_at(&self) -> Option<Nanos> {
+        let used = self.connection.used.get();
+        if !self.outgoing.is_empty() {
+            let operations = &self.server.configuration.settings.deployment.operations;
+            return operations.iter().map(|op| used + op.client_timeout).max();
+        }
+        (self.connection.leaving.get() && self.tags.is_empty()).then_some(used + LINGER)
+    }
+
     fn read(&mut self) -> std::io::Result<()> {
         let mut chunk = [0; CHUNK];
         let room = self.incoming.room().min(CHUNK);
@@ -115,7 +147,10 @@
         while !self.outgoing.is_empty() {
             match self.stream.get_ref().write(self.outgoing.front()) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(count) => self.outgoing.drop_front(count),
+                Ok(count) => {
+                    self.outgoing.drop_front(count);
+                    self.connection.used.set(self.server.clock.now());
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
--- a/crates/server/src/lifecycle/tasks/decisions.rs
+++ b/crates/server/src/lifecycle/tasks/decisions.rs
@@ -195,6 +195,9 @@
         match notice {
             Notice::Ended { task, ending, result } => {
                 let Some(inv) = self.hands.invocations.find(task) else { return };
+                // Over for the interpreter though not answered here: running it would bring the same, endlessly.
+                let answered = self.hands.invocations.get(inv).is_none_or(|invocation| invocation.answered);
+                let ending = if ending == Ending::NeverRan && !answered { Ending::Errored } else { ending };
                 self.hands.run_ended(inv, ending, result);
                 self.with_brain(|brain, now, hands| brain.finished(now, inv, ending, hands));
                 self.hands.invocations.release(inv);
@@ -240,8 +243,9 @@
     /// False where there is no link; what is still wanted goes out on the next.
     fn send(&mut self, line: Vec<u8>) -> bool {
         let sent = self.commands.as_ref().is_some_and(|commands| commands.try_send(line).is_ok());
-        if !sent {
-            self.commands = None;
+        if !sent && let Some(commands) = self.commands.take() {
+            // An interpreter that reads nothing: the link ends with its queue and is made anew.
+            commands.close();
         }
         sent
     }
--- /dev/null
+++ b/crates/server/tests/stand_ins.rs
@@ -0,0 +1,431 @@
+//! Small stand-ins for balancers, the interpreter, the records service and the catalog, and the notation
+//! in which scenarios move them. Every wait is for an event and fails after `PATIENCE`. A line a step:
+//!
+//! - first `config PATH JSON` to change the configuration; the server starts with `start`, again with
+//!   `start again` (same address) after `kill`; `fails TEXT` is for one that must not start.
+//! - `signal TERM|INT|USR1`, `exits CODE`, `logs TEXT` (waits for a line of the log).
+//! - `open A`, `close A`, `half-close A`, `reset A`; `call A TAG OPERATION BODY [FIELDS]` (its reference is
+//!   made of TAG), `health A TAG`, `send A BYTES` (`\r`, `\n`), `bytewise A TAG OPERATION BODY`,
+//!   `hears A TAG WORD [BODY]`, `hears-fields A TAG WORD TEXT`, `hears A 0 enough`, `unheard A TAG`, `ends A`;
+//!   `flood A N` sends N checks without reading, `drink A N` reads as many answers; `refused` (to connect).
+//! - `link INDEX` (takes a link that must have read that far), `banner warm|cold`, `told VERB TAG [BODY]`,
+//!   `notice JSON` (TAG written `#7` becomes its reference, `=text=` base64), `gauges on|off`, `unlink`.
+//! - `called TAG BODY`, `reply STATUS BODY [HEADER]`, `hang up` (on the call), `given up` (by the server),
+//!   `no records` (connections there are refused).
+//! - `descriptors N` (before the start); `counts COUNTER LEAST`; `reported WORDS`; `repeat N STEP` with `%` for the number.
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+pub struct Stage {
+    name: String,
+    configuration: Value,
+    server: Option<Child>,
+    log: Receiver<String>,
+    seen: Vec<String>,
+    listen: String,
+    balancers: HashMap<String, Balancer>,
+    vm: TcpListener,
+    link: Option<BufReader<TcpStream>>,
+    gauges: bool,
+    records: Option<TcpListener>,
+    call: Option<BufReader<TcpStream>>,
+    catalog: UdpSocket,
+    descriptors: Option<String>,
+}
+
+struct Balancer {
+    stream: BufReader<TcpStream>,
+    heard: Vec<Vec<String>>,
+}
+
+fn reference(tag: &str) -> String {
+    format!("{:016x}", 0xabc0_0000_0000 + tag.parse::<u64>().expect("a tag"))
+}
+
+fn patient(stream: TcpStream) -> BufReader<TcpStream> {
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.set_nodelay(true).unwrap();
+    BufReader::new(stream)
+}
+
+fn unescaped(text: &str) -> Vec<u8> {
+    text.replace("\\r", "\r").replace("\\n", "\n").into_bytes()
+}
+
+fn array(words: &[&str]) -> Vec<u8> {
+    let words: String = words.iter().map(|word| format!("${}\r\n{word}\r\n", word.len())).collect();
+    format!("*{}\r\n{words}", words.matches("\r\n$").count() + 1).into_bytes()
+}
+
+impl Balancer {
+    /// The next array; `None` at the end of the connection.
+    fn array(&mut self) -> Option<Vec<String>> {
+        let mut line = String::new();
+        match self.stream.read_line(&mut line) {
+            Ok(0) => return None,
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => return None,
+            other => other.expect("an answer in time"),
+        };
+        let count: usize = line.trim().strip_prefix('*').expect("an array").parse().unwrap();
+        let words = (0..count).map(|_| {
+            let mut head = String::new();
+            self.stream.read_line(&mut head).unwrap();
+            let mut word =
+                vec![0; head.trim().strip_prefix('$').expect("a word").parse::<usize>().unwrap() + 2];
+            self.stream.read_exact(&mut word).unwrap();
+            String::from_utf8(word).unwrap().trim_end_matches("\r\n").to_string()
+        });
+        Some(words.collect())
+    }
+
+    fn hear(&mut self, tag: &str) -> Vec<String> {
+        loop {
+            if let Some(i) = self.heard.iter().position(|words| words[0] == tag) {
+                return self.heard.remove(i);
+            }
+            let words = self.array().unwrap_or_else(|| panic!("the connection ended before tag {tag}"));
+            self.heard.push(words);
+        }
+    }
+}
+
+fn call(tag: &str, operation: &str, body: &str, fields: Option<&str>) -> Vec<u8> {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+    let usual = format!("other=1,ref={},since={since},sender=4,room=2.5,class_rank=0.5", reference(tag));
+    array(&["RPC.CALL", tag, operation, fields.unwrap_or(&usual), body])
+}
+
+impl Stage {
+    fn new(name: &str) -> Self {
+        let vm = TcpListener::bind("127.0.0.1:0").unwrap();
+        let records = TcpListener::bind("127.0.0.1:0").unwrap();
+        let catalog = UdpSocket::bind("127.0.0.1:0").unwrap();
+        catalog.set_read_timeout(Some(PATIENCE)).unwrap();
+        let address = |listener: &TcpListener| listener.local_addr().unwrap().to_string();
+        let operation = |name: &str| json!({"name": name, "effect": "repeatable", "target": 8_000_000, "give-up": 9_000_000, "worth": 1.0});
+        let configuration = json!({
+            "name": "n3", "listen": "127.0.0.1:0", "vm": address(&vm), "records": address(&records),
+            "directory": catalog.local_addr().unwrap().to_string(),
+            "seed": "8c1f30d27a5be964", "stop_ms": 4000,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "settings": {
+                "grades": [operation("load"), operation("store")], "peers-total": 2, "orgs": [],
+                "contract": {"drain-grace": 2_000_000, "grace-to-answer": 50_000, "fall-multiple": 8.0,
+                    "cold-from": 0.2, "cold": 9_000_000},
+                "limits": {"retry-after": true, "max-retry-after": 1_000_000},
+                "family-info": {"below": "tier", "cores": 4, "memory-kb": 100_000, "run-factor": 4.0,
+                    "entry-kb": 7, "preemption": "discard", "say": "weight", "idle": 15_000_000,
+                    "own-stats": ["cpu_busy", "runnable"]},
+            },
+        });
+        Self {
+            name: name.to_string(),
+            configuration,
+            server: None,
+            log: channel().1,
+            seen: Vec::new(),
+            listen: String::new(),
+            balancers: HashMap::new(),
+            vm,
+            link: None,
+            gauges: true,
+            records: Some(records),
+            call: None,
+            catalog,
+            descriptors: None,
+        }
+    }
+
+    fn configure(&mut self, path: &str, value: &str) {
+        let place = path.split('/').fold(&mut self.configuration, |at, name| match name.parse::<usize>() {
+            Ok(i) => &mut at[i],
+            Err(_) => &mut at[name],
+        });
+        *place = serde_json::from_str(value).expect("JSON");
+    }
+
+    fn start(&mut self) {
+        let file: PathBuf = std::env::temp_dir().join(format!("{}-{}.json", self.name, std::process::id()));
+        std::fs::write(&file, self.configuration.to_string()).unwrap();
+        let most = self.descriptors.as_deref().unwrap_or("1024");
+        let mut server = Command::new("sh")
+            .args(["-c", "ulimit -n $0; exec \"$1\" serve --config \"$2\"", most])
+            .arg(env!("CARGO_BIN_EXE_meadowstream"))
+            .arg(&file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (lines, log) = channel();
+        let stderr = BufReader::new(server.stderr.take().unwrap());
+        std::thread::spawn(move || {
+            stderr.lines().map_while(Result::ok).try_for_each(|line| lines.send(line))
+        });
+        (self.server, self.log, self.seen) = (Some(server), log, Vec::new());
+    }
+
+    fn log_line(&mut self, text: &str) -> String {
+        loop {
+            if let Some(line) = self.seen.iter().find(|line| line.contains(text)) {
+                return line.clone();
+            }
+            let line =
+                self.log.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("no {text:?}: {:?}", self.seen));
+            self.seen.push(line);
+        }
+    }
+
+    fn exits(&mut self, code: Option<i32>) {
+        // The log ends with the process, or this fails.
+        while let Ok(line) = self.log.recv_timeout(PATIENCE) {
+            self.seen.push(line);
+        }
+        let status = self.server.take().expect("started").wait().unwrap();
+        assert_eq!(status.code(), code, "{:?}", self.seen);
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.server.as_ref().expect("started").id().to_string();
+        assert!(Command::new("kill").args([&format!("-{name}"), &id]).status().unwrap().success());
+    }
+
+    /// Asks for the counters until one has come that far.
+    fn counts(&mut self, name: &str, least: u64) {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            self.seen.clear();
+            self.signal("USR1");
+            let line = self.log_line("counters:");
+            let counter = line.split_whitespace().find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
+            if counter.expect("a counter").parse::<u64>().unwrap() >= least {
+                return;
+            }
+        }
+        panic!("{name} stays under {least}: {:?}", self.seen);
+    }
+
+    fn balancer(&mut self, name: &str) -> &mut Balancer {
+        self.balancers.get_mut(name).unwrap_or_else(|| panic!("no connection {name}"))
+    }
+
+    fn write(&mut self, name: &str, bytes: &[u8]) {
+        self.balancer(name).stream.get_mut().write_all(bytes).unwrap();
+    }
+
+    /// The next command; questions for gauges are answered on the way.
+    fn command(&mut self) -> Value {
+        loop {
+            let link = self.link.as_mut().expect("linked");
+            let mut line = String::new();
+            assert!(link.read_line(&mut line).expect("a command in time") > 0, "the link ended");
+            let command: Value = serde_json::from_str(&line).expect("JSON");
+            if command["verb"] != "TOP" {
+                return command;
+            }
+            if self.gauges {
+                let answer = json!({"verb": "TOPS", "nonce": command["nonce"], "readings": [0.5, 1.0]});
+                writeln!(link.get_mut(), "{answer}").unwrap();
+            }
+        }
+    }
+
+    fn told(&mut self, verb: &str, tag: &str, body: Option<&str>) {
+        let command = self.command();
+        assert_eq!((&command["verb"], &command["task"]), (&json!(verb), &json!(reference(tag))), "{command}");
+        if let Some(body) = body {
+            assert_eq!(command["bytes"], json!(STANDARD.encode(body)), "{command}");
+        }
+    }
+
+    fn notice(&mut self, text: &str) {
+        let mut text = text.to_string();
+        while let Some((before, rest)) = text.split_once('#') {
+            let end = rest.find(|c: char| !c.is_ascii_digit()).unwrap_or(rest.len());
+            text = format!("{before}{}{}", reference(&rest[..end]), &rest[end..]);
+        }
+        while let Some((before, rest)) = text.split_once('=') {
+            let (body, after) = rest.split_once('=').expect("two marks");
+            text = format!("{before}{}{after}", STANDARD.encode(body).replace('=', "\u{1}"));
+        }
+        writeln!(self.link.as_mut().expect("linked").get_mut(), "{}", text.replace('\u{1}', "=")).unwrap();
+    }
+
+    fn called(&mut self, tag: &str, body: &str) {
+        if self.call.is_none() {
+            let (stream, _) = self.records.as_ref().expect("records").accept().unwrap();
+            self.call = Some(patient(stream));
+        }
+        let call = self.call.as_mut().unwrap();
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            assert!(call.read_line(&mut head).expect("a call in time") > 0, "the call's connection ended");
+        }
+        assert!(head.contains(&format!("Op-Of: {}\r\n", reference(tag))), "{head}");
+        let len: usize =
+            head.split("Content-Length: ").nth(1).unwrap().split('\r').next().unwrap().parse().unwrap();
+        let mut got = vec![0; len];
+        call.read_exact(&mut got).unwrap();
+        assert_eq!(String::from_utf8(got).unwrap(), body);
+    }
+
+    fn reply(&mut self, status: &str, body: &str, header: &str) {
+        let header = if header.is_empty() { String::new() } else { format!("{header}\r\n") };
+        let reply = format!("HTTP/1.1 {status} X\r\n{header}Content-Length: {}\r\n\r\n{body}", body.len());
+        self.call.as_mut().expect("a call").get_mut().write_all(reply.as_bytes()).unwrap();
+    }
+
+    fn hears(&mut self, name: &str, tag: &str, word: &str, body: Option<&str>) {
+        let words = self.balancer(name).hear(tag);
+        assert_eq!(words[1], word, "{words:?}");
+        if let Some(body) = body {
+            assert_eq!(words[3], body, "{words:?}");
+        }
+    }
+
+    fn step(&mut self, line: &str) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let rest = |n: usize| line.splitn(n + 1, ' ').nth(n).unwrap_or("");
+        match words.as_slice() {
+            ["config", path, ..] => self.configure(path, rest(2)),
+            ["start"] => {
+                self.start();
+                let line = self.log_line(" listen=");
+                self.listen = line.split(" listen=").nth(1).unwrap().trim().to_string();
+            }
+            ["start", "again"] => {
+                self.configuration["listen"] = json!(self.listen);
+                self.start();
+                self.log_line(" listen=");
+            }
+            ["fails", ..] => {
+                self.start();
+                self.exits(Some(1));
+                assert!(self.seen.len() == 1 && self.seen[0].contains(rest(1)), "{:?}", self.seen);
+            }
+            ["kill"] => {
+                self.signal("KILL");
+                self.exits(None);
+                (self.link, self.call) = (None, None);
+            }
+            ["signal", name] => self.signal(name),
+            ["exits", code] => self.exits(Some(code.parse().unwrap())),
+            ["logs", ..] => drop(self.log_line(rest(1))),
+            ["open", name] => {
+                let stream = patient(TcpStream::connect(&self.listen).unwrap());
+                self.balancers.insert(name.to_string(), Balancer { stream, heard: Vec::new() });
+            }
+            ["descriptors", most] => self.descriptors = Some(most.to_string()),
+            ["refused"] => {
+                let error = TcpStream::connect(&self.listen).expect_err("refused");
+                assert_eq!(error.kind(), ErrorKind::ConnectionRefused);
+            }
+            // Closed with something unread, a connection is reset.
+            ["reset", name] => {
+                let balancer = self.balancers.remove(*name).expect("open");
+                assert_eq!(balancer.stream.get_ref().peek(&mut [0]).expect("in time"), 1);
+            }
+            ["flood", name, count] => {
+                let mut stream = self.balancer(name).stream.get_ref().try_clone().unwrap();
+                let checks: Vec<u8> = (1..=count.parse().unwrap())
+                    .flat_map(|tag: usize| array(&["RPC.HEALTH", &tag.to_string(), ""]))
+                    .collect();
+                std::thread::spawn(move || stream.write_all(&checks));
+            }
+            ["drink", name, count] => {
+                for tag in 1..=count.parse::<usize>().unwrap() {
+                    assert_eq!(self.balancer(name).array().expect("an answer")[0], tag.to_string());
+                }
+            }
+            ["unheard", name, tag] => {
+                assert!(self.balancer(name).heard.iter().all(|words| words[0] != *tag));
+            }
+            ["counts", name, least] => self.counts(name, least.parse().unwrap()),
+            ["close", name] => drop(self.balancers.remove(*name)),
+            ["half-close", name] => self.balancer(name).stream.get_ref().shutdown(Shutdown::Write).unwrap(),
+            ["call", name, tag, operation, body, ..] => {
+                self.write(name, &call(tag, operation, body, words.get(5).copied()));
+            }
+            ["big", name, tag, operation, len] => {
+                self.write(name, &call(tag, operation, &"x".repeat(len.parse().unwrap()), None));
+            }
+            ["bytewise", name, tag, operation, body] => {
+                call(tag, operation, body, None).iter().for_each(|byte| self.write(name, &[*byte]));
+            }
+            ["health", name, tag] => self.write(name, &array(&["RPC.HEALTH", tag, ""])),
+            ["send", name, ..] => self.write(name, &unescaped(rest(2))),
+            ["hears", name, tag, word] => self.hears(name, tag, word, None),
+            ["hears", name, tag, word, body] => self.hears(name, tag, word, Some(body)),
+            ["hears-fields", name, tag, word, ..] => {
+                let answer = self.balancer(name).hear(tag);
+                assert!(answer[1] == *word && words[4..].iter().all(|f| answer[2].contains(f)), "{answer:?}");
+            }
+            ["ends", name] => assert_eq!(self.balancer(name).array(), None),
+            ["link", index] => {
+                self.link = Some(patient(self.vm.accept().unwrap().0));
+                let command = self.command();
+                assert_eq!(command, json!({"verb": "CONNECT", "index": index.parse::<u64>().unwrap()}));
+            }
+            ["unlink"] => self.link = None,
+            ["banner", state] => self.notice(&format!(r#"{{"verb":"BANNER","outcome":"{state}","spent":5}}"#)),
+            ["told", verb, tag] => self.told(verb, tag, None),
+            ["told", verb, tag, body] => self.told(verb, tag, Some(body)),
+            ["notice", ..] => self.notice(rest(1)),
+            ["long", "notice"] => self.notice(&"x".repeat(40_000)),
+            ["gauges", state] => self.gauges = *state == "on",
+            ["ok", index, tag, body] => self.notice(&format!(
+                r##"{{"verb":"VALUE","index":{index},"task":"#{tag}","outcome":"ok","spent":1,"bytes":"={body}="}}"##
+            )),
+            ["awaits", index, tag, body] => {
+                self.notice(&format!(r##"{{"verb":"AWAIT","index":{index},"task":"#{tag}","bytes":"={body}="}}"##));
+            }
+            ["called", tag, body] => self.called(tag, body),
+            ["reply", status, body, ..] => self.reply(status, body, rest(3)),
+            ["hang", "up"] => self.call = None,
+            ["given", "up"] => {
+                let mut byte = [0];
+                assert_eq!(self.call.take().expect("a call").read(&mut byte).expect("in time"), 0);
+            }
+            ["no", "records"] => self.records = None,
+            ["reported", ..] => {
+                let mut datagram = [0; 100];
+                let len = self.catalog.recv(&mut datagram).expect("a report in time");
+                assert_eq!(std::str::from_utf8(&datagram[..len]).unwrap(), rest(1));
+            }
+            ["repeat", count, ..] => {
+                for n in 1..=count.parse::<usize>().unwrap() {
+                    self.step(&rest(2).replace('%', &n.to_string()));
+                }
+            }
+            _ => panic!("unknown step {line:?}"),
+        }
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        if let Some(server) = &mut self.server {
+            let _ = server.kill().and_then(|()| server.wait());
+        }
+        let _ = std::fs::remove_file(std::env::temp_dir().join(format!(
+            "{}-{}.json",
+            self.name,
+            std::process::id()
+        )));
+    }
+}
+
+pub fn play(name: &str, text: &str) {
+    let mut stage = Stage::new(name);
+    for line in text.lines().filter(|line| !line.is_empty() && !line.starts_with('#')) {
+        stage.step(line);
+    }
+}
