--- a/crates/server/tests/stand_ins.rs
+++ b/crates/server/tests/stand_ins.rs
@@ -6,13 +6,15 @@
 //! - `signal TERM|INT|USR1`, `exits CODE`, `logs TEXT` (waits for a line of the log).
 //! - `open A`, `close A`, `half-close A`, `reset A`; `call A TAG OPERATION BODY [FIELDS]` (its reference is
 //!   made of TAG), `health A TAG`, `send A BYTES` (`\r`, `\n`), `bytewise A TAG OPERATION BODY`,
-//!   `hears A TAG WORD [BODY]`, `hears-fields A TAG WORD TEXT`, `hears A 0 enough`, `unheard A TAG`, `ends A`;
+//!   `hears A TAG WORD [BODY]`, `hears-fields A TAG WORD TEXT`, `hears A 0 enough`, `unheard A TAG`,
+//!   `ends A`;
 //!   `flood A N` sends N checks without reading, `drink A N` reads as many answers; `refused` (to connect).
 //! - `link INDEX` (takes a link that must have read that far), `banner warm|cold`, `told VERB TAG [BODY]`,
 //!   `notice JSON` (TAG written `#7` becomes its reference, `=text=` base64), `gauges on|off`, `unlink`.
 //! - `called TAG BODY`, `reply STATUS BODY [HEADER]`, `hang up` (on the call), `given up` (by the server),
 //!   `no records` (connections there are refused).
-//! - `descriptors N` (before the start); `counts COUNTER LEAST`; `reported WORDS`; `repeat N STEP` with `%` for the number.
+//! - `descriptors N` (before the start); `counts COUNTER LEAST`; `reported WORDS`; `repeat N STEP` with `%`
+//!   for the number.
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use serde_json::{Value, json};
@@ -112,7 +114,10 @@
         let catalog = UdpSocket::bind("127.0.0.1:0").unwrap();
         catalog.set_read_timeout(Some(PATIENCE)).unwrap();
         let address = |listener: &TcpListener| listener.local_addr().unwrap().to_string();
-        let operation = |name: &str| json!({"name": name, "effect": "repeatable", "target": 8_000_000, "give-up": 9_000_000, "worth": 1.0});
+        let operation = |name: &str| {
+            let (target, give_up) = (8_000_000, 9_000_000);
+            json!({"name": name, "effect": "repeatable", "target": target, "give-up": give_up, "worth": 1.0})
+        };
         let configuration = json!({
             "name": "n3", "listen": "127.0.0.1:0", "vm": address(&vm), "records": address(&records),
             "directory": catalog.local_addr().unwrap().to_string(),
@@ -375,17 +380,21 @@
                 assert_eq!(command, json!({"verb": "CONNECT", "index": index.parse::<u64>().unwrap()}));
             }
             ["unlink"] => self.link = None,
-            ["banner", state] => self.notice(&format!(r#"{{"verb":"BANNER","outcome":"{state}","spent":5}}"#)),
+            ["banner", state] => {
+                self.notice(&format!(r#"{{"verb":"BANNER","outcome":"{state}","spent":5}}"#))
+            }
             ["told", verb, tag] => self.told(verb, tag, None),
             ["told", verb, tag, body] => self.told(verb, tag, Some(body)),
             ["notice", ..] => self.notice(rest(1)),
             ["long", "notice"] => self.notice(&"x".repeat(40_000)),
             ["gauges", state] => self.gauges = *state == "on",
-            ["ok", index, tag, body] => self.notice(&format!(
-                r##"{{"verb":"VALUE","index":{index},"task":"#{tag}","outcome":"ok","spent":1,"bytes":"={body}="}}"##
-            )),
+            ["ok", index, tag, body] => {
+                let run = format!(r##""index":{index},"task":"#{tag}","outcome":"ok","spent":1"##);
+                self.notice(&format!(r#"{{"verb":"VALUE",{run},"bytes":"={body}="}}"#));
+            }
             ["awaits", index, tag, body] => {
-                self.notice(&format!(r##"{{"verb":"AWAIT","index":{index},"task":"#{tag}","bytes":"={body}="}}"##));
+                let run = format!(r##""index":{index},"task":"#{tag}""##);
+                self.notice(&format!(r#"{{"verb":"AWAIT",{run},"bytes":"={body}="}}"#));
             }
             ["called", tag, body] => self.called(tag, body),
             ["reply", status, body, ..] => self.reply(status, body, rest(3)),
