--- a/crates/server/src/lifecycle/tasks/decisions.rs
+++ b/crates/server/src/lifecycle/tasks/decisions.rs
@@ -195,7 +195,7 @@
         match notice {
             Notice::Ended { task, ending, result } => {
                 let Some(inv) = self.hands.invocations.find(task) else { return };
-                // Over for the interpreter though not answered here: running it would bring the same, endlessly.
+                // Over for the interpreter though not answered here: run again it would be void again.
                 let answered = self.hands.invocations.get(inv).is_none_or(|invocation| invocation.answered);
                 let ending = if ending == Ending::NeverRan && !answered { Ending::Errored } else { ending };
                 self.hands.run_ended(inv, ending, result);
