--- a/crates/server/src/lifecycle/tasks/accept.rs
+++ b/crates/server/src/lifecycle/tasks/accept.rs
@@ -29,7 +29,7 @@
 pub async fn accept(server: Rc<Server>, listener: Async<TcpListener>) {
     let most = most(&server.configuration);
     let mut full = false;
-    while !server.standing.leaving.get() {
+    while !server.standing.leaving.get() || server.connections.count() > 0 {
         if server.connections.count() >= most {
             if !full {
                 warn!(most, "no room for another connection");
@@ -42,6 +42,8 @@
         full = false;
         let leaves = async {
             let _ = server.left.recv().await;
+            server.connections.all_enough_older();
+            Timer::after(PAUSE).await;
             None
         };
         match future::or(leaves, async { Some(listener.accept().await) }).await {
@@ -56,7 +58,6 @@
             }
         }
     }
-    server.connections.all_enough();
     while let Ok(stream) = listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream)) {
         connection::take_in(&server, stream);
     }
--- a/crates/server/src/lifecycle/tasks/connection.rs
+++ b/crates/server/src/lifecycle/tasks/connection.rs
@@ -50,9 +50,6 @@
     hears: Receiver<Told>,
 ) {
     let _ = stream.get_ref().set_nodelay(true);
-    if server.standing.leaving.get() {
-        connection.enough();
-    }
     let id = connection.id;
     let mut talk = Talk {
         server: server.clone(),
@@ -230,6 +227,9 @@
             Told::Answer(tag, answer) => {
                 self.tags.retain(|open| *open != tag);
                 self.connection.open.set(self.tags.len());
+                if self.server.standing.leaving.get() {
+                    self.connection.enough();
+                }
                 self.put(tag, &answer)
             }
             Told::Enough => {
