--- a/crates/server/src/lifecycle/drain.rs
+++ b/crates/server/src/lifecycle/drain.rs
@@ -7,11 +7,22 @@
 /// How often it is looked whether all is done, once the server leaves.
 const LOOK: Duration = Duration::from_millis(10);
 
-/// Ends once the server leaves, the listener is closed and no connection is left that could bring a call.
-/// Connections end by themselves: each hears `enough`, and its peer closes it when all on it is answered.
-pub async fn over(server: &Server, listening: impl Future<Output = ()>) {
-    listening.await;
-    while server.connections.count() > 0 || !server.inputs.is_empty() {
+/// No connection is left that could bring a call. They end by themselves: each hears `enough`, at the
+/// notice or with its next answer, and its peer closes it when all on it is answered.
+pub fn is_over(server: &Server) -> bool {
+    server.standing.leaving.get() && server.connections.count() == 0 && server.inputs.is_empty()
+}
+
+/// Returns when it is worth asking whether the drain is over.
+pub async fn next_look(server: &Server) {
+    if server.left.recv().await.is_err() {
         Timer::after(LOOK).await;
     }
 }
+
+/// Waits for what came in last, when the listener is closed already.
+pub async fn over(server: &Server) {
+    while !is_over(server) {
+        next_look(server).await;
+    }
+}
--- a/crates/server/src/lifecycle/signals.rs
+++ b/crates/server/src/lifecycle/signals.rs
@@ -20,6 +20,7 @@
             Ok(_) if !server.standing.leaving.replace(true) => {
                 info!("told to leave");
                 stay.close();
+                server.connections.all_enough();
                 let _ = server.inputs.send(Input::Leave).await;
             }
             _ => {}
--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -49,7 +49,8 @@
     executor.spawn(link::keep(server.clone())).detach();
     executor.spawn(catalog::report(server.clone())).detach();
     executor.spawn(Decisions::new(server.clone()).run(queue)).detach();
-    drain::over(&server, accept::accept(server.clone(), listener)).await;
+    accept::accept(server.clone(), listener).await;
+    drain::over(&server).await;
     info!("ended; counters:{}", server.counters);
     Ok(())
 }
--- a/crates/server/src/lifecycle/tasks/accept.rs
+++ b/crates/server/src/lifecycle/tasks/accept.rs
@@ -1,7 +1,7 @@
 //! Takes connections in until the server leaves.
 
 use super::{Server, connection};
-use crate::lifecycle::configuration::Configuration;
+use crate::lifecycle::{configuration::Configuration, drain};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use std::net::TcpListener;
@@ -25,36 +25,31 @@
     configuration.sockets.saturating_sub(reserve(configuration)).min(by_memory as usize).max(1)
 }
 
-/// Ends with the listener closed. Guards what the kernel accepted: all of it is taken in first.
+/// Ends with the listener closed, once the drain is over. Guards what the kernel accepted: callers hear late
+/// that a server leaves, and until then they are answered here rather than refused a connection.
 pub async fn accept(server: Rc<Server>, listener: Async<TcpListener>) {
     let most = most(&server.configuration);
     let mut full = false;
-    while !server.standing.leaving.get() || server.connections.count() > 0 {
-        if server.connections.count() >= most {
-            if !full {
+    while !drain::is_over(&server) {
+        let was_full = std::mem::replace(&mut full, server.connections.count() >= most);
+        if full {
+            if !was_full {
                 warn!(most, "no room for another connection");
             }
-            full = true;
-            server.connections.idle_enough(server.clock.now());
-            Timer::after(PAUSE).await;
+            make_room(&server).await;
             continue;
         }
-        full = false;
-        let leaves = async {
-            let _ = server.left.recv().await;
-            server.connections.all_enough_older();
-            Timer::after(PAUSE).await;
+        let other = async {
+            drain::next_look(&server).await;
             None
         };
-        match future::or(leaves, async { Some(listener.accept().await) }).await {
+        match future::or(other, async { Some(listener.accept().await) }).await {
             None => {}
             Some(Ok((stream, _))) => connection::take_in(&server, stream),
             Some(Err(error)) => {
-                // Out of descriptors, most likely: idle connections make room.
                 server.counters.accepts_failed.add();
                 warn!(%error, "cannot accept");
-                server.connections.idle_enough(server.clock.now());
-                Timer::after(PAUSE).await;
+                make_room(&server).await;
             }
         }
     }
@@ -62,3 +57,9 @@
         connection::take_in(&server, stream);
     }
 }
+
+/// Out of descriptors or near it: idle connections are asked to go.
+async fn make_room(server: &Server) {
+    server.connections.idle_enough(server.clock.now());
+    Timer::after(PAUSE).await;
+}
--- a/crates/server/src/memory/connections.rs
+++ b/crates/server/src/memory/connections.rs
@@ -51,7 +51,6 @@
 pub struct Connections {
     open: RefCell<BTreeMap<u64, Rc<Connection>>>,
     last: Cell<u64>,
-    once: Cell<bool>,
 }
 
 impl Connections {
@@ -77,10 +76,8 @@
         self.open.borrow().len()
     }
 
-    pub fn all_enough_older(&self) {
-        if !self.once.replace(true) {
-            self.open.borrow().values().for_each(|each| each.enough());
-        }
+    pub fn all_enough(&self) {
+        self.open.borrow().values().for_each(|each| each.enough());
     }
 
     /// Those that have carried nothing since then are to go.
