--- a/crates/server/src/lifecycle/tasks/decisions.rs
+++ b/crates/server/src/lifecycle/tasks/decisions.rs
@@ -68,18 +68,22 @@
     }
 
     pub async fn run(mut self, inputs: Receiver<Input>) {
+        let (mut timer, mut set) = (Timer::never(), None);
         loop {
             self.wake_what_is_due();
             let next = self.hands.wakes.peek().map(|Reverse((at, ..))| *at);
+            if let Some(at) = next.filter(|_| next != set) {
+                timer.set_at(self.hands.server.clock.instant(at));
+            }
+            set = next;
             let due = async {
-                match next {
-                    Some(at) => drop(Timer::at(self.hands.server.clock.instant(at)).await),
-                    None => future::pending().await,
-                }
+                (&mut timer).await;
                 None
             };
             if let Some(input) = future::or(async { inputs.recv().await.ok() }, due).await {
                 self.take(input);
+            } else {
+                set = None;
             }
         }
     }
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -5,8 +5,9 @@
 mod memory;
 mod wire;
 
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result, ensure};
 use lifecycle::{configuration::Configuration, start};
+use std::ffi::OsStr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tracing_subscriber::EnvFilter;
@@ -14,57 +15,99 @@
 const HELP: &str = "\
 meadowstream: a server with overload control inside
 
-  meadowstream serve [--config FILE]   serve until SIGTERM or SIGINT; FILE is $ROUTER_CONFIG if not given
+  meadowstream serve [--config FILE]   serve until SIGTERM or SIGINT
   meadowstream check FILE              say whether a configuration can be served
   meadowstream version                 say which version this is
 
-SIGUSR1 prints the counters. RUST_LOG=debug says more. Exit codes: 0 done, 1 failed, 2 wrong usage.
+meadowstream COMMAND --help says more. Exit codes: 0 done, 1 failed, 2 wrong usage.
+";
+const SERVE: &str = "\
+meadowstream serve [--config FILE]
+
+Serves until SIGTERM or SIGINT, then answers all that has come and ends. FILE is what $ROUTER_CONFIG
+names where it is not given. The log goes to standard error; RUST_LOG=debug says more, and SIGUSR1 adds
+the counters to it.
+";
+const CHECK: &str = "\
+meadowstream check FILE
+
+Reads a configuration as serve would and says what it would do, or names the part that cannot be served.
+";
+const VERSION: &str = "\
+meadowstream version
+
+Prints the version.
 ";
 
 fn main() -> ExitCode {
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
-    tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(std::io::stderr).init();
     let mut arguments = pico_args::Arguments::from_env();
     let help = arguments.contains(["-h", "--help"]);
-    let command = match arguments.subcommand() {
-        Ok(command) if help || command.as_deref() == Some("help") => {
-            print!("{HELP}");
-            return ExitCode::SUCCESS;
-        }
-        Ok(Some(command)) => command,
-        _ => {
-            eprint!("{HELP}");
-            return ExitCode::from(2);
-        }
+    let command = arguments.subcommand().ok().flatten();
+    let page = match command.as_deref() {
+        Some("serve") => SERVE,
+        Some("check") => CHECK,
+        Some("version") => VERSION,
+        _ => HELP,
     };
-    match obey(&command, arguments) {
-        Ok(()) => ExitCode::SUCCESS,
+    if help || command.as_deref() == Some("help") {
+        print!("{page}");
+        return ExitCode::SUCCESS;
+    }
+    match obey(command.as_deref(), arguments) {
+        Ok(Some(act)) => act().map_or_else(
+            |error| {
+                eprintln!("meadowstream: {error:#}");
+                ExitCode::FAILURE
+            },
+            |()| ExitCode::SUCCESS,
+        ),
+        Ok(None) => {
+            eprint!("{page}");
+            ExitCode::from(2)
+        }
         Err(error) => {
-            eprintln!("meadowstream: {error:#}");
-            ExitCode::from(if error.is::<pico_args::Error>() { 2 } else { 1 })
+            eprint!("meadowstream: {error:#}\n\n{page}");
+            ExitCode::from(2)
         }
     }
 }
 
-fn obey(command: &str, mut arguments: pico_args::Arguments) -> Result<()> {
-    let path = |text: &std::ffi::OsStr| Ok::<_, std::convert::Infallible>(PathBuf::from(text));
-    match command {
-        "serve" => {
+type Act = Box<dyn FnOnce() -> Result<()>>;
+
+/// What the words ask for; an error where they ask for nothing there is.
+fn obey(command: Option<&str>, mut arguments: pico_args::Arguments) -> Result<Option<Act>> {
+    let path = |text: &OsStr| Ok::<_, std::convert::Infallible>(PathBuf::from(text));
+    let act: Act = match command {
+        Some("serve") => {
             let given: Option<PathBuf> = arguments.opt_value_from_os_str("--config", path)?;
             let file = given.or_else(|| std::env::var_os("ROUTER_CONFIG").map(PathBuf::from));
             let file = file.context("neither --config nor $ROUTER_CONFIG names a configuration")?;
-            start::serve(Configuration::load(&file)?)
+            Box::new(move || serve(&file))
         }
-        "check" => {
+        Some("check") => {
             let file: PathBuf = arguments.free_from_os_str(path)?;
-            let read = Configuration::load(&file)?;
-            println!("{}: {} would listen on {}", file.display(), read.name, read.listen);
-            Ok(())
+            Box::new(move || check(&file))
         }
-        "version" => {
+        Some("version") => Box::new(|| {
             println!("meadowstream {}", env!("CARGO_PKG_VERSION"));
             Ok(())
-        }
-        other => bail!("unknown command {other:?}; see meadowstream --help"),
-    }
+        }),
+        _ => return Ok(None),
+    };
+    let rest = arguments.finish();
+    ensure!(rest.is_empty(), "not understood: {rest:?}");
+    Ok(Some(act))
+}
+
+fn serve(file: &std::path::Path) -> Result<()> {
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(std::io::stderr).init();
+    start::serve(Configuration::load(file)?)
+}
+
+fn check(file: &std::path::Path) -> Result<()> {
+    let read = Configuration::load(file)?;
+    let operations = read.settings.operation_names.join(", ");
+    println!("{} would listen on {} for {operations}", read.name, read.listen);
+    Ok(())
 }
--- a/crates/server/src/wire/mod.rs
+++ b/crates/server/src/wire/mod.rs
@@ -7,6 +7,8 @@
 pub mod resp;
 pub mod ring;
 pub mod rpc;
+#[cfg(test)]
+mod tests;
 
 /// What a parser makes of the bytes that have come so far.
 #[derive(Debug, PartialEq)]
--- /dev/null
+++ b/crates/server/src/wire/tests.rs
@@ -0,0 +1,207 @@
+//! The parsers on whole, cut, malformed and oversized input. None may panic on anything.
+
+use super::{Parsed, http, interpreter, resp, ring::Ring, rpc};
+use meadowstream::Ending;
+use test_case::test_case;
+
+/// What is read does not matter where only its extent is looked at.
+fn extent<T>(parsed: Parsed<T>) -> Parsed<()> {
+    match parsed {
+        Parsed::Whole(_, used) => Parsed::Whole((), used),
+        Parsed::More => Parsed::More,
+        Parsed::Malformed(why) => Parsed::Malformed(why),
+    }
+}
+
+/// A whole message is taken whatever follows it, and every cut of it waits for more.
+fn whole_or_more(message: &[u8], parse: impl Fn(&[u8]) -> Parsed<()>) {
+    for end in 0..message.len() {
+        assert!(matches!(parse(&message[..end]), Parsed::More), "cut at {end}");
+    }
+    for behind in [&b""[..], b"*", b"HTTP", b"\r\n{"] {
+        let Parsed::Whole(_, used) = parse(&[message, behind].concat()) else { panic!("not taken") };
+        assert_eq!(used, message.len());
+    }
+}
+
+/// Every byte in turn replaced by each of some, and every cut of that: no panic, nothing beyond the end.
+fn never_panics(message: &[u8], parse: impl Fn(&[u8]) -> Parsed<()>) {
+    for at in 0..message.len() {
+        for byte in [0, b'\r', b'\n', b'-', b'9', b'$', b'"', b':', 0xff] {
+            let mut bent = message.to_vec();
+            bent[at] = byte;
+            for end in at..=bent.len() {
+                if let Parsed::Whole(_, used) = parse(&bent[..end]) {
+                    assert!(used <= end);
+                }
+            }
+        }
+    }
+}
+
+const ARRAY: &[u8] = b"*3\r\n$8\r\nRPC.CALL\r\n$1\r\n7\r\n$4\r\na\r\nb\r\n";
+const REPLY: &[u8] = b"HTTP/1.1 503 Busy\r\nop-not-begun: 1\r\nContent-Length: 3\r\n\r\nabc";
+const LINE: &[u8] = b"{\"verb\":\"VALUE\",\"index\":3,\"task\":\"00000000000000ab\",\"outcome\":\"ok\",\
+    \"spent\":2,\"bytes\":\"aGk=\"}\n";
+
+#[test]
+fn arrays() {
+    whole_or_more(ARRAY, |bytes| extent(resp::array(bytes)));
+    never_panics(ARRAY, |bytes| extent(resp::array(bytes)));
+    assert_eq!(resp::array(ARRAY), Parsed::Whole(vec![&b"RPC.CALL"[..], b"7", b"a\r\nb"], ARRAY.len()));
+    let mut written = Vec::new();
+    resp::put_array(&mut written, &[b"RPC.CALL", b"7", b"a\r\nb"]);
+    assert_eq!(written, ARRAY);
+}
+
+#[test_case(b"+OK\r\n"; "another type")]
+#[test_case(b"*0\r\n"; "no word")]
+#[test_case(b"*9\r\n"; "too many words")]
+#[test_case(b"*1\n"; "a bare line end")]
+#[test_case(b"*-1\r\n"; "a negative count")]
+#[test_case(b"*1\r\n$-1\r\n"; "a null word")]
+#[test_case(b"*1\r\n$4097\r\n"; "a word too long")]
+#[test_case(b"*1\r\n$99999999999"; "an endless number")]
+#[test_case(b"*1\r\n$2\r\nabc\r\n"; "another length than announced")]
+fn malformed_arrays(bytes: &[u8]) {
+    assert!(matches!(resp::array(bytes), Parsed::Malformed(_)));
+}
+
+#[test]
+fn an_array_as_long_as_any_fits_the_ring() {
+    let mut written = Vec::new();
+    resp::put_array(&mut written, &[&[b'x'; resp::WORD_MAX][..]; resp::WORDS_MAX]);
+    assert!(Ring::new(resp::ARRAY_MAX).put(&written));
+    assert!(matches!(resp::array(&written), Parsed::Whole(..)));
+}
+
+#[test]
+fn calls() {
+    let fields: &[u8] = b"x,room=24.5,new=,ref=9b1f03aa5c7e2d41,since=1764576000123";
+    let call = rpc::Call {
+        tag: 7,
+        operation: "checkout",
+        reference: 0x9b1f_03aa_5c7e_2d41,
+        since: 1_764_576_000_123,
+        held_kb: 24.5,
+        body: b"\0\xff",
+    };
+    let words = [&b"RPC.CALL"[..], b"7", b"checkout", fields, b"\0\xff"];
+    assert_eq!(rpc::command(&words), rpc::Command::Call(call));
+    assert_eq!(rpc::command(&[b"RPC.HEALTH", b"8", b""]), rpc::Command::Health { tag: 8 });
+}
+
+#[test_case("ref=9b1f03aa5c7e2d4,since=1,room=1"; "short ref")]
+#[test_case("ref=+b1f03aa5c7e2d41,since=1,room=1"; "signed ref")]
+#[test_case("since=1,room=1"; "no ref")]
+#[test_case("ref=9b1f03aa5c7e2d41,since=-1,room=1"; "negative since")]
+#[test_case("ref=9b1f03aa5c7e2d41,since=99999999999999999999,room=1"; "since too large")]
+#[test_case("ref=9b1f03aa5c7e2d41,since=1,room=NaN"; "room is no number")]
+#[test_case("ref=9b1f03aa5c7e2d41,since=1,room=2000"; "room too large")]
+fn bad_fields(fields: &str) {
+    let words = [&b"RPC.CALL"[..], b"7", b"checkout", fields.as_bytes(), b""];
+    assert!(matches!(rpc::command(&words), rpc::Command::Bad { tag: Some(7), .. }));
+}
+
+#[test_case(&[b"RPC.CALL"]; "no tag")]
+#[test_case(&[b"RPC.CALL", b"0", b"x", b"", b""]; "tag 0")]
+#[test_case(&[b"RPC.CALL", b"+1", b"x", b"", b""]; "signed tag")]
+fn unknown_tags(words: &[&[u8]]) {
+    assert!(matches!(rpc::command(words), rpc::Command::Bad { tag: None, .. }));
+}
+
+#[test]
+fn answers() {
+    let answer = |answer, advertised| {
+        let mut out = Vec::new();
+        rpc::put_answer(&mut out, 7, &answer, advertised);
+        let Parsed::Whole(words, _) = resp::array(&out) else { panic!("no array") };
+        words.iter().map(|word| String::from_utf8_lossy(word).into_owned()).collect::<Vec<_>>()
+    };
+    assert_eq!(
+        answer(rpc::Answer::Succeeded(b"hi".to_vec()), Some(0.5)),
+        ["7", "good", "pressure=0.5", "hi"]
+    );
+    let throttled = rpc::Answer::Throttled { no_retry: true, stay_away: 1_000_001 };
+    assert_eq!(answer(throttled, Some(0.0)), ["7", "refused", "pressure=0,cooldown=2,nowhere=1", ""]);
+    let throttled = rpc::Answer::Throttled { no_retry: false, stay_away: 0 };
+    assert_eq!(answer(throttled, None), ["7", "refused", "", ""]);
+    assert_eq!(answer(rpc::Answer::Health(false), None), ["7", "unfit", "", ""]);
+}
+
+#[test]
+fn replies() {
+    whole_or_more(REPLY, |bytes| extent(http::reply(bytes)));
+    never_panics(REPLY, |bytes| extent(http::reply(bytes)));
+}
+
+#[test_case("200", "", Ending::Succeeded)]
+#[test_case("503", "Op-Not-Begun: 1\r\n", Ending::NeverRan)]
+#[test_case("409", "op-not-begun:1\r\n", Ending::NeverRan)]
+#[test_case("503", "", Ending::Unknown; "503 unmarked")]
+#[test_case("503", "Op-Not-Begun: 0\r\n", Ending::Unknown; "503 marked as begun")]
+#[test_case("500", "Op-Not-Begun: 1\r\n", Ending::Errored)]
+#[test_case("504", "", Ending::Unknown; "504")]
+#[test_case("418", "", Ending::Unknown; "any other")]
+fn what_replies_prove(status: &str, header: &str, ending: Ending) {
+    let reply = format!("HTTP/1.1 {status} X\r\n{header}Content-Length: 2\r\n\r\nhi");
+    let Parsed::Whole(reply, _) = http::reply(reply.as_bytes()) else { panic!("not taken") };
+    assert_eq!((reply.ending, reply.body, reply.stays), (ending, b"hi".to_vec(), true));
+}
+
+#[test_case(b"HTTP/1.0 200 OK\r\n\r\n"; "another version")]
+#[test_case(b"HTTP/1.1 2x0 OK\r\n\r\n"; "no status")]
+#[test_case(b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n"; "a body too long")]
+#[test_case(b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"; "a negative length")]
+#[test_case(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"; "no stated length")]
+#[test_case(&[b'x'; http::HEAD_MAX + 4]; "an endless head")]
+fn malformed_replies(bytes: &[u8]) {
+    assert!(matches!(http::reply(bytes), Parsed::Malformed(_)));
+}
+
+#[test]
+fn a_call_states_what_it_is_for() {
+    let call = http::call("127.0.0.1:1", 0xab, 250_000_001, b"body");
+    let text = String::from_utf8(call).unwrap();
+    assert!(
+        text.starts_with("POST /records/op HTTP/1.1\r\nHost: 127.0.0.1:1\r\nOp-Of: 00000000000000ab\r\n")
+    );
+    assert!(text.ends_with("Op-Wait-Ms: 251\r\nContent-Length: 4\r\n\r\nbody"));
+}
+
+#[test]
+fn notices() {
+    whole_or_more(LINE, |bytes| extent(interpreter::line(bytes)));
+    never_panics(LINE, |bytes| {
+        if let Parsed::Whole(line, _) = interpreter::line(bytes) {
+            let _ = interpreter::notice(line);
+        }
+        extent(interpreter::line(bytes))
+    });
+    let ended = interpreter::Notice::Ended { task: 0xab, ending: Ending::Succeeded, result: b"hi".to_vec() };
+    assert_eq!(interpreter::notice(LINE).unwrap(), (Some(3), ended));
+    assert!(matches!(interpreter::line(&[b'x'; interpreter::LINE_MAX + 1]), Parsed::Malformed(_)));
+}
+
+#[test_case("7"; "no object")]
+#[test_case(r#"{"verb":"VALUE","task":"00000000000000ab","outcome":"gone"}"#; "unknown end")]
+#[test_case(r#"{"verb":"VALUE","task":"ab","outcome":"failed"}"#; "short task")]
+#[test_case(r#"{"verb":"VALUE","task":"00000000000000ab","outcome":"ok","bytes":"*"}"#; "no base64")]
+#[test_case(r#"{"verb":"BANNER","outcome":"hot"}"#; "unknown state")]
+#[test_case(r#"{"verb":"TOPS","nonce":"1","readings":[1,"x"]}"#; "a reading that is no number")]
+fn bad_notices(line: &str) {
+    assert!(interpreter::notice(line.as_bytes()).is_err());
+}
+
+#[test]
+fn a_ring_is_bounded_and_keeps_the_order() {
+    let mut ring = Ring::new(8);
+    for round in 0..20u8 {
+        assert!(ring.put(&[round, round + 1, round + 2]));
+        assert!(!ring.put(&[0; 6]));
+        ring.straighten();
+        assert_eq!(ring.front(), [round, round + 1, round + 2]);
+        ring.drop_front(3);
+        assert!(ring.is_empty() && ring.room() == 8);
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -217,6 +217,23 @@
         assert_eq!((read.busy_gauge, read.wanting_gauge), (Some(1), None));
     }
 
+    #[test]
+    fn reads_the_same_from_json() {
+        let json = serde_json::json!({
+            "grades": [{"effect": "by_key", "target": 2_000_000, "give-up": 5_000_000, "window": 5_000_000,
+                "worth": 2.5}],
+            "peers-total": 11, "orgs": [], "some": {"unknown": "key"},
+            "family-info": {"below": "off", "preemption": "freeze", "say": "weight", "cores": 6,
+                "memory-kb": 1000, "run-factor": 4, "entry-kb": 7, "own-stats": ["mem used", "cpu_busy"],
+                "idle": 15_000_000, "fresh-start": null},
+            "contract": {"drain-grace": 2_500_000, "grace-to-answer": 60_000, "fall-multiple": 8.0,
+                "cold-from": 0.2, "cold": 17_000_000},
+        });
+        let (read, same) = (read_json(&json).unwrap(), super::read(GOOD).unwrap());
+        assert_eq!(format!("{:?}", read.deployment), format!("{:?}", same.deployment));
+        assert_eq!((read.busy_gauge, read.operation_names), (same.busy_gauge, same.operation_names));
+    }
+
     #[test]
     fn names_what_cannot_be_read() {
         for line in GOOD.lines().filter(|line| !line.starts_with("some.") && !line.contains("own-stats")) {
