Descriptors are shared out so that the server never holds more than its limit

Log: accept failed with too many open files just before. Ruled out: the call pool alone (4 at most). Cause: accept.rs kept an eighth of the limit back, but 13 descriptors are open at the start and calls were not bounded at all. Now what is open at the start is counted, connections get half of the limit and half of the rest, calls wait for a place of theirs. Scenarios: connections_full holds 32 at most, calls_wait_for_descriptors.

--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -3,7 +3,7 @@
 use super::tasks::{Input, Server, accept, catalog, decisions::Decisions, link};
 use super::{clock::Clock, configuration::Configuration, drain, signals};
 use crate::memory::connections::{Connections, Standing};
-use crate::memory::{counters::Counters, pool::Pool};
+use crate::memory::{counters::Counters, descriptors::Descriptors, pool::Pool};
 use anyhow::{Context, Result};
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -29,7 +29,7 @@
     info!(name = configuration.name, listen = %listener.get_ref().local_addr()?, "started");
     let (inputs, queue) = async_channel::bounded::<Input>(INPUTS);
     let (stay, left) = async_channel::bounded(1);
-    let pool = Pool::new(accept::reserve(&configuration) / 2);
+    let descriptors = Descriptors::share_out(configuration.sockets);
     let server = Rc::new(Server {
         configuration,
         clock: Clock::start(),
@@ -41,7 +41,8 @@
             advertised: Cell::new(None),
             leaving: Cell::new(false),
         },
-        pool,
+        pool: Pool::new(descriptors.calls),
+        descriptors,
         counters: Counters::default(),
         left,
     });
--- a/crates/server/src/lifecycle/tasks/accept.rs
+++ b/crates/server/src/lifecycle/tasks/accept.rs
@@ -1,7 +1,7 @@
 //! Takes connections in until the server leaves.
 
 use super::{Server, connection};
-use crate::lifecycle::{configuration::Configuration, drain};
+use crate::lifecycle::drain;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use std::net::TcpListener;
@@ -9,26 +9,20 @@
 use std::time::Duration;
 use tracing::warn;
 
-/// Part of the descriptors that is kept for the link, calls and the catalog.
-const RESERVE: usize = 8;
 /// Part of the memory that buffers of connections may fill.
 const BUFFERS: u64 = 2;
 /// After a failure to accept it is tried again this much later.
 const PAUSE: Duration = Duration::from_millis(10);
 
-pub fn reserve(configuration: &Configuration) -> usize {
-    configuration.sockets / RESERVE
-}
-
-fn most(configuration: &Configuration) -> usize {
-    let by_memory = configuration.memory_mb * (1 << 20) / BUFFERS / connection::BUFFERED_MAX as u64;
-    configuration.sockets.saturating_sub(reserve(configuration)).min(by_memory as usize).max(1)
+fn most(server: &Server) -> usize {
+    let by_memory = server.configuration.memory_mb * (1 << 20) / BUFFERS / connection::BUFFERED_MAX as u64;
+    server.descriptors.connections.min(by_memory as usize).max(1)
 }
 
 /// Ends with the listener closed, once the drain is over. Guards what the kernel accepted: callers hear late
 /// that a server leaves, and until then they are answered here rather than refused a connection.
 pub async fn accept(server: Rc<Server>, listener: Async<TcpListener>) {
-    let most = most(&server.configuration);
+    let most = most(&server);
     let mut full = false;
     while !drain::is_over(&server) {
         let was_full = std::mem::replace(&mut full, server.connections.count() >= most);
--- a/crates/server/src/lifecycle/tasks/call.rs
+++ b/crates/server/src/lifecycle/tasks/call.rs
@@ -31,22 +31,17 @@
 }
 
 async fn exchange(server: &Server, to: SocketAddr, call: &Call) -> (Ending, Vec<u8>) {
-    let stream = match server.pool.take() {
-        Some(stream) => stream,
-        None => match Async::<TcpStream>::connect(to).await {
-            Ok(stream) => stream,
-            // Only a refusal proves that nothing ran.
-            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
-                return (Ending::NeverRan, Vec::new());
-            }
-            Err(_) => return (Ending::Unknown, Vec::new()),
-        },
+    let pooled = match server.pool.take(to).await {
+        Ok(pooled) => pooled,
+        // Only a refusal proves that nothing ran.
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => return (Ending::NeverRan, Vec::new()),
+        Err(_) => return (Ending::Unknown, Vec::new()),
     };
-    let _ = stream.get_ref().set_nodelay(true);
-    match converse(&stream, to, call).await {
+    let _ = pooled.stream.get_ref().set_nodelay(true);
+    match converse(&pooled.stream, to, call).await {
         Ok((reply, alone)) => {
             if reply.stays && alone {
-                server.pool.give_back(stream);
+                server.pool.give_back(pooled);
             }
             (reply.ending, reply.body)
         }
--- a/crates/server/src/lifecycle/tasks/mod.rs
+++ b/crates/server/src/lifecycle/tasks/mod.rs
@@ -9,7 +9,7 @@
 
 use super::clock::Clock;
 use super::configuration::Configuration;
-use crate::memory::{connections::*, counters::Counters, pool::Pool};
+use crate::memory::{connections::*, counters::Counters, descriptors::Descriptors, pool::Pool};
 use crate::wire::interpreter::Notice;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -24,6 +24,7 @@
     pub inputs: Sender<Input>,
     pub connections: Connections,
     pub standing: Standing,
+    pub descriptors: Descriptors,
     pub pool: Pool,
     pub counters: Counters,
     /// Closed once the server is to leave.
--- a/crates/server/src/memory/mod.rs
+++ b/crates/server/src/memory/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod connections;
 pub mod counters;
+pub mod descriptors;
 pub mod invocations;
 pub mod pool;
--- a/crates/server/tests/server.rs
+++ b/crates/server/tests/server.rs
@@ -24,6 +24,7 @@
 #[test_case("slow_reader")]
 #[test_case("descriptors_gone")]
 #[test_case("connections_full")]
+#[test_case("calls_wait_for_descriptors")]
 #[test_case("idle_connection")]
 #[test_case("drain")]
 #[test_case("drain_late")]
--- a/crates/server/tests/stand_ins.rs
+++ b/crates/server/tests/stand_ins.rs
@@ -13,8 +13,8 @@
 //!   `notice JSON` (TAG written `#7` becomes its reference, `=text=` base64), `gauges on|off`, `unlink`.
 //! - `called TAG BODY`, `reply STATUS BODY [HEADER]`, `hang up` (on the call), `given up` (by the server),
 //!   `no records` (connections there are refused).
-//! - `descriptors N` (before the start); `counts COUNTER LEAST`; `reported WORDS`; `repeat N STEP` with `%`
-//!   for the number.
+//! - `descriptors N` (before the start), `holds-at-most N`; `counts COUNTER LEAST`; `reported WORDS`;
+//!   `repeat N STEP` with `%` for the number.
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use serde_json::{Value, json};
@@ -329,6 +329,11 @@
                 self.balancers.insert(name.to_string(), Balancer { stream, heard: Vec::new() });
             }
             ["descriptors", most] => self.descriptors = Some(most.to_string()),
+            ["holds-at-most", most] => {
+                let id = self.server.as_ref().expect("started").id();
+                let held = std::fs::read_dir(format!("/proc/{id}/fd")).unwrap().count();
+                assert!(held <= most.parse().unwrap(), "{held} descriptors");
+            }
             // Closed with something unread, a connection is reset.
             ["reset", name] => {
                 let balancer = self.balancers.remove(*name).expect("open");
