Connections and calls share one count of descriptors, instead of fixed shares

Callers open few connections there, so half of the limit lay unused. Now each connection and each call has a place in one count; connections leave an eighth to calls, and calls half of that to connections.

--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -29,7 +29,7 @@
     info!(name = configuration.name, listen = %listener.get_ref().local_addr()?, "started");
     let (inputs, queue) = async_channel::bounded::<Input>(INPUTS);
     let (stay, left) = async_channel::bounded(1);
-    let descriptors = Descriptors::share_out(configuration.sockets);
+    let descriptors = Descriptors::within(configuration.sockets);
     let server = Rc::new(Server {
         configuration,
         clock: Clock::start(),
@@ -41,7 +41,7 @@
             advertised: Cell::new(None),
             leaving: Cell::new(false),
         },
-        pool: Pool::new(descriptors.calls),
+        pool: Pool::default(),
         descriptors,
         counters: Counters::default(),
         left,
--- a/crates/server/src/lifecycle/tasks/call.rs
+++ b/crates/server/src/lifecycle/tasks/call.rs
@@ -31,7 +31,7 @@
 }
 
 async fn exchange(server: &Server, to: SocketAddr, call: &Call) -> (Ending, Vec<u8>) {
-    let pooled = match server.pool.take(to).await {
+    let pooled = match server.pool.take(to, &server.descriptors).await {
         Ok(pooled) => pooled,
         // Only a refusal proves that nothing ran.
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => return (Ending::NeverRan, Vec::new()),
--- a/crates/server/src/lifecycle/tasks/connection.rs
+++ b/crates/server/src/lifecycle/tasks/connection.rs
@@ -2,6 +2,7 @@
 
 use super::{Input, Server};
 use crate::memory::connections::{Connection, OPEN_MAX, Told};
+use crate::memory::descriptors::Place;
 use crate::wire::{Parsed, resp, ring::Ring, rpc};
 use async_channel::Receiver;
 use async_io::{Async, Timer};
@@ -37,15 +38,16 @@
 }
 
 /// Counts the connection from now on, before its task has run: nothing that was accepted is overlooked.
-pub fn take_in(server: &Rc<Server>, stream: Async<TcpStream>) {
+pub fn take_in(server: &Rc<Server>, stream: Async<TcpStream>, place: Place) {
     server.counters.connections_opened.add();
     let (connection, hears) = server.connections.open(server.clock.now());
-    server.executor.spawn(serve(server.clone(), stream, connection, hears)).detach();
+    server.executor.spawn(serve(server.clone(), stream, place, connection, hears)).detach();
 }
 
 async fn serve(
     server: Rc<Server>,
     stream: Async<TcpStream>,
+    place: Place,
     connection: Rc<Connection>,
     hears: Receiver<Told>,
 ) {
@@ -66,6 +68,7 @@
         let _ = server.inputs.send(Input::Broken(id)).await;
     }
     server.connections.close(id);
+    drop((talk, place));
     server.counters.connections_closed.add();
 }
 
--- a/crates/server/src/memory/descriptors.rs
+++ b/crates/server/src/memory/descriptors.rs
@@ -1,24 +1,63 @@
-//! How the descriptors that the server may hold are shared out. Guards against holding more than the
-//! limit, for which the platform kills it.
+//! The descriptors that the server may hold: each connection and each call has a place among them.
+//! Guards against holding more than the limit, for which the platform kills it.
 
-/// Used beside those open at the start: the link, the catalog's, one that is just being accepted.
-const LATER: usize = 3;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Used beside those open at the start: the link and the catalog's.
+const LATER: usize = 2;
 /// Taken for open at the start where it cannot be counted.
 const OPEN_AT_START: usize = 13;
+/// Part of the places that connections never take; of it calls leave half to connections.
+const SPARE: usize = 8;
+
+#[derive(Default)]
+struct Held {
+    all: Cell<usize>,
+    connections: Cell<usize>,
+}
 
 pub struct Descriptors {
-    pub connections: usize,
-    pub calls: usize,
+    places: usize,
+    held: Rc<Held>,
+}
+
+/// Given back when it is dropped, whoever held it.
+pub struct Place {
+    held: Rc<Held>,
+    connections: usize,
 }
 
 impl Descriptors {
-    /// Peers open connections up to half of the limit; they and calls share the rest evenly. Calls are
-    /// fewer where there is little, since a call can wait and an accepted connection cannot.
-    pub fn share_out(limit: usize) -> Self {
+    pub fn within(limit: usize) -> Self {
         let open = std::fs::read_dir("/proc/self/fd").map_or(OPEN_AT_START, |entries| entries.count() - 1);
-        let half = limit / 2;
-        let rest = limit.saturating_sub(half + open + LATER);
-        let calls = rest.div_ceil(2).max(1);
-        Self { connections: (half + rest - rest.div_ceil(2)).max(1), calls }
+        Self { places: limit.saturating_sub(open + LATER), held: Rc::default() }
+    }
+
+    fn spare(&self) -> usize {
+        (self.places / SPARE).max(2)
+    }
+
+    pub fn for_connection(&self) -> Option<Place> {
+        let room = self.held.connections.get() + self.spare() < self.places;
+        (room && self.held.all.get() < self.places).then(|| self.place(1))
+    }
+
+    /// Leaves room for connections, since a call can wait and what the kernel accepted cannot.
+    pub fn for_call(&self) -> Option<Place> {
+        (self.held.all.get() + self.spare() / 2 < self.places).then(|| self.place(0))
+    }
+
+    fn place(&self, connections: usize) -> Place {
+        self.held.all.set(self.held.all.get() + 1);
+        self.held.connections.set(self.held.connections.get() + connections);
+        Place { held: self.held.clone(), connections }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.held.all.set(self.held.all.get() - 1);
+        self.held.connections.set(self.held.connections.get() - self.connections);
     }
 }
