--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -26,10 +26,10 @@
     let listener = listener.with_context(|| format!("cannot listen on {}", configuration.listen))?;
     // The queue that the standard library asks for would drop what a burst opens beyond 128 at once.
     rustix::net::listen(listener.get_ref(), configuration.sockets.min(i32::MAX as usize) as i32)?;
-    info!(name = configuration.name, listen = %listener.get_ref().local_addr()?, "started");
     let (inputs, queue) = async_channel::bounded::<Input>(INPUTS);
     let (stay, left) = async_channel::bounded(1);
-    let descriptors = Descriptors::within(configuration.sockets);
+    let descriptors = Descriptors::within(configuration.sockets)?;
+    info!(name = configuration.name, listen = %listener.get_ref().local_addr()?, "started");
     let server = Rc::new(Server {
         configuration,
         clock: Clock::start(),
--- a/crates/server/src/memory/descriptors.rs
+++ b/crates/server/src/memory/descriptors.rs
@@ -1,6 +1,7 @@
 //! The descriptors that the server may hold: each connection and each call has a place among them.
 //! Guards against holding more than the limit, for which the platform kills it.
 
+use anyhow::{Result, ensure};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -10,6 +11,7 @@
 const OPEN_AT_START: usize = 13;
 /// Part of the places that connections never take; of it calls leave half to connections.
 const SPARE: usize = 8;
+const SPARE_LEAST: usize = 2;
 
 #[derive(Default)]
 struct Held {
@@ -29,13 +31,16 @@
 }
 
 impl Descriptors {
-    pub fn within(limit: usize) -> Self {
+    /// An error where the limit leaves nothing for callers.
+    pub fn within(limit: usize) -> Result<Self> {
         let open = std::fs::read_dir("/proc/self/fd").map_or(OPEN_AT_START, |entries| entries.count() - 1);
-        Self { places: limit.saturating_sub(open + LATER), held: Rc::default() }
+        let places = limit.saturating_sub(open + LATER);
+        ensure!(places > SPARE_LEAST, "limits.sockets: {limit} are too few, {} are in use", open + LATER);
+        Ok(Self { places, held: Rc::default() })
     }
 
     fn spare(&self) -> usize {
-        (self.places / SPARE).max(2)
+        (self.places / SPARE).max(SPARE_LEAST)
     }
 
     pub fn for_connection(&self) -> Option<Place> {
