The program's main future runs as a task; scenario for counters that add up

Cause: what executor.run is given is polled with every step of every task, and that was the future that accepts.

--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -17,7 +17,9 @@
 
 pub fn serve(configuration: Configuration) -> Result<()> {
     let executor: &'static LocalExecutor = Box::leak(Box::new(LocalExecutor::new()));
-    async_io::block_on(executor.run(run(configuration, executor)))
+    // A task like the others: what `run` itself is given is polled with each of their steps.
+    let whole = executor.spawn(run(configuration, executor));
+    async_io::block_on(executor.run(whole))
 }
 
 async fn run(configuration: Configuration, executor: &'static LocalExecutor<'static>) -> Result<()> {
--- a/crates/server/tests/stand_ins.rs
+++ b/crates/server/tests/stand_ins.rs
@@ -3,7 +3,8 @@
 //!
 //! - first `config PATH JSON` to change the configuration; the server starts with `start`, again with
 //!   `start again` (same address) after `kill`; `fails TEXT` is for one that must not start.
-//! - `signal TERM|INT|USR1`, `exits CODE`, `logs TEXT` (waits for a line of the log).
+//! - `signal TERM|INT|USR1`, `exits CODE`, `adds up` (the counters at the end), `logs TEXT` (waits for a
+//!   line of the log).
 //! - `open A`, `close A`, `half-close A`, `reset A`; `call A TAG OPERATION BODY [FIELDS]` (its reference is
 //!   made of TAG), `health A TAG`, `send A BYTES` (`\r`, `\n`), `bytewise A TAG OPERATION BODY`,
 //!   `hears A TAG WORD [BODY]`, `hears-fields A TAG WORD TEXT`, `hears A 0 enough`, `unheard A TAG`,
@@ -323,6 +324,17 @@
             }
             ["signal", name] => self.signal(name),
             ["exits", code] => self.exits(Some(code.parse().unwrap())),
+            // What was taken in is what was answered, or nobody waited for it any more.
+            ["adds", "up"] => {
+                let line = self.log_line("ended; counters:");
+                let count = |name: &str| -> u64 {
+                    let found =
+                        line.split_whitespace().find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
+                    found.expect("a counter").parse().unwrap()
+                };
+                let ends = ["succeeded", "throttled", "errored", "unanswered"].map(count);
+                assert_eq!(count("invocations"), ends.iter().sum::<u64>(), "{line}");
+            }
             ["logs", ..] => drop(self.log_line(rest(1))),
             ["open", name] => {
                 let stream = patient(TcpStream::connect(&self.listen).unwrap());
