Server tidied: one way to receive, one sign of leaving, no body moved to and fro

receive() replaces the same read-and-fill in link.rs and call.rs; the ring is straightened where it is filled; leaving is the closed channel alone, no flag beside it; send() names the link a command went out on, which two callers worked out; run() borrows the body instead of taking it out and putting it back. Same behaviour.

--- a/crates/server/src/lifecycle/drain.rs
+++ b/crates/server/src/lifecycle/drain.rs
@@ -10,7 +10,7 @@
 /// No connection is left that could bring a call. They end by themselves: each hears `enough`, at the
 /// notice or with its next answer, and its peer closes it when all on it is answered.
 pub fn is_over(server: &Server) -> bool {
-    server.standing.leaving.get() && server.connections.count() == 0 && server.inputs.is_empty()
+    server.leaves() && server.connections.count() == 0 && server.inputs.is_empty()
 }
 
 /// Returns when it is worth asking whether the drain is over.
--- a/crates/server/src/lifecycle/signals.rs
+++ b/crates/server/src/lifecycle/signals.rs
@@ -17,9 +17,8 @@
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Usr1) => info!("counters:{}", server.counters),
-            Ok(_) if !server.standing.leaving.replace(true) => {
+            Ok(_) if stay.close() => {
                 info!("told to leave");
-                stay.close();
                 server.connections.all_enough();
                 let _ = server.inputs.send(Input::Leave).await;
             }
--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -38,11 +38,7 @@
         executor,
         inputs,
         connections: Connections::default(),
-        standing: Standing {
-            healthy: Cell::new(true),
-            advertised: Cell::new(None),
-            leaving: Cell::new(false),
-        },
+        standing: Standing { healthy: Cell::new(true), advertised: Cell::new(None) },
         pool: Pool::default(),
         descriptors,
         counters: Counters::default(),
--- a/crates/server/src/lifecycle/tasks/call.rs
+++ b/crates/server/src/lifecycle/tasks/call.rs
@@ -1,9 +1,9 @@
 //! One call to the records service. Dropped, it is given up: its connection closes.
 
-use super::{Input, Server};
+use super::{Input, Server, receive};
 use crate::wire::{Parsed, http, ring::Ring};
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use futures_lite::{AsyncWriteExt, future};
 use meadowstream::{Ending, Nanos};
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
@@ -57,15 +57,8 @@
 ) -> std::io::Result<(http::Reply, bool)> {
     stream.write_all(&http::call(&to.to_string(), call.reference, call.timeout, &call.body)).await?;
     let mut ring = Ring::new(http::HEAD_MAX + http::BODY_MAX + 4);
-    let mut chunk = [0; 8 * 1024];
     loop {
-        let room = ring.room().min(chunk.len());
-        let count = stream.read(&mut chunk[..room]).await?;
-        if count == 0 {
-            return Err(ErrorKind::UnexpectedEof.into());
-        }
-        let _ = ring.put(&chunk[..count]);
-        ring.straighten();
+        receive(stream, &mut ring).await?;
         match http::reply(ring.front()) {
             Parsed::More => {}
             Parsed::Whole(reply, used) => {
--- a/crates/server/src/lifecycle/tasks/catalog.rs
+++ b/crates/server/src/lifecycle/tasks/catalog.rs
@@ -21,7 +21,7 @@
         Err(error) => return warn!(%error, "no socket for the catalog"),
     };
     let mut trouble = false;
-    while !server.standing.leaving.get() {
+    while !server.leaves() {
         if server.counters.links.get() == 0 {
             Timer::after(LOOK).await;
             continue;
--- a/crates/server/src/lifecycle/tasks/connection.rs
+++ b/crates/server/src/lifecycle/tasks/connection.rs
@@ -135,6 +135,7 @@
             Ok(0) => self.deaf = true,
             Ok(count) => {
                 let _ = self.incoming.put(&chunk[..count]);
+                self.incoming.straighten();
                 self.connection.used.set(self.server.clock.now());
             }
             Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
@@ -161,7 +162,6 @@
 
     async fn take_commands(&mut self) -> std::io::Result<()> {
         while !self.deaf && self.may_take() {
-            self.incoming.straighten();
             let (command, used) = match resp::array(self.incoming.front()) {
                 Parsed::More => break,
                 Parsed::Malformed(why) => {
@@ -230,7 +230,7 @@
             Told::Answer(tag, answer) => {
                 self.tags.retain(|open| *open != tag);
                 self.connection.open.set(self.tags.len());
-                if self.server.standing.leaving.get() {
+                if self.server.leaves() {
                     self.connection.enough();
                 }
                 self.put(tag, &answer)
--- a/crates/server/src/lifecycle/tasks/decisions.rs
+++ b/crates/server/src/lifecycle/tasks/decisions.rs
@@ -190,7 +190,7 @@
         deployment.cold = cold;
         let born = self.hands.server.clock.now().saturating_sub(age);
         self.brain = Some(Brain::new(deployment, seed, born, &mut self.hands));
-        if self.hands.server.standing.leaving.get() {
+        if self.hands.server.leaves() {
             self.take(Input::Leave);
         }
     }
@@ -244,19 +244,19 @@
         self.last
     }
 
-    /// False where there is no link; what is still wanted goes out on the next.
-    fn send(&mut self, line: Vec<u8>) -> bool {
+    /// The link it went out on; 0 where there is none, and what is still wanted goes out on the next.
+    fn send(&mut self, line: Vec<u8>) -> u64 {
         let sent = self.commands.as_ref().is_some_and(|commands| commands.try_send(line).is_ok());
         if !sent && let Some(commands) = self.commands.take() {
             // An interpreter that reads nothing: the link ends with its queue and is made anew.
             commands.close();
         }
-        sent
+        if sent { self.link } else { 0 }
     }
 
     /// Sends a command that the run goes on by, and keeps it until a notice shows that it was taken.
     fn send_for(&mut self, inv: u64, line: Vec<u8>) {
-        let link = self.link * u64::from(self.send(line.clone()));
+        let link = self.send(line.clone());
         if let Some(invocation) = self.invocations.get(inv) {
             invocation.unconfirmed = Some(Sent { line, link });
         }
@@ -379,13 +379,8 @@
     fn run(&mut self, inv: u64) {
         let Some(invocation) = self.invocations.get(inv) else { return };
         invocation.runs = true;
-        let (reference, operation) = (invocation.reference, invocation.operation);
-        let body = std::mem::take(&mut invocation.body);
-        let operation = &self.server.configuration.settings.operation_names[operation];
-        let line = interpreter::apply(reference, operation, &body);
-        if let Some(invocation) = self.invocations.get(inv) {
-            invocation.body = body;
-        }
+        let operation = &self.server.configuration.settings.operation_names[invocation.operation];
+        let line = interpreter::apply(invocation.reference, operation, &invocation.body);
         self.server.counters.runs_sent.add();
         self.send_for(inv, line);
     }
@@ -394,7 +389,7 @@
         let Some(invocation) = self.invocations.get(inv).filter(|invocation| invocation.runs) else { return };
         let line = interpreter::stop(invocation.reference);
         self.server.counters.stops_sent.add();
-        let sent = self.link * u64::from(self.send(line));
+        let sent = self.send(line);
         if let Some(invocation) = self.invocations.get(inv) {
             invocation.stopping = Some(sent);
         }
--- a/crates/server/src/lifecycle/tasks/link.rs
+++ b/crates/server/src/lifecycle/tasks/link.rs
@@ -1,11 +1,11 @@
 //! The link to the interpreter, made again after each break.
 
-use super::{Input, Server};
+use super::{Input, Server, receive};
 use crate::wire::{Parsed, interpreter, ring::Ring};
 use async_channel::Receiver;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use std::io::{ErrorKind, Result};
+use futures_lite::{AsyncWriteExt, future};
+use std::io::Result;
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
@@ -43,15 +43,9 @@
     (&stream).write_all(&interpreter::connect(*last_read)).await?;
     let (commands, queue) = async_channel::bounded(COMMANDS);
     let reads = async {
-        let (mut ring, mut skips, mut chunk) = (Ring::new(2 * interpreter::LINE_MAX), false, [0; 8 * 1024]);
+        let (mut ring, mut skips) = (Ring::new(2 * interpreter::LINE_MAX), false);
         loop {
-            let room = ring.room().min(chunk.len());
-            let count = (&stream).read(&mut chunk[..room]).await?;
-            if count == 0 {
-                return Err(ErrorKind::UnexpectedEof.into());
-            }
-            let _ = ring.put(&chunk[..count]);
-            ring.straighten();
+            receive(&stream, &mut ring).await?;
             while let Some((input, used)) = next(server, ring.front(), &mut skips, last_read) {
                 ring.drop_front(used);
                 let input = match input {
--- a/crates/server/src/lifecycle/tasks/mod.rs
+++ b/crates/server/src/lifecycle/tasks/mod.rs
@@ -10,10 +10,14 @@
 use super::clock::Clock;
 use super::configuration::Configuration;
 use crate::memory::{connections::*, counters::Counters, descriptors::Descriptors, pool::Pool};
-use crate::wire::interpreter::Notice;
+use crate::wire::{interpreter::Notice, ring::Ring};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::AsyncReadExt;
 use meadowstream::{Ending, Nanos};
+use std::io::{ErrorKind, Result};
+use std::net::TcpStream;
 use std::rc::Rc;
 
 /// What all tasks of the one thread use.
@@ -31,6 +35,25 @@
     pub left: Receiver<()>,
 }
 
+impl Server {
+    pub fn leaves(&self) -> bool {
+        self.left.is_closed()
+    }
+}
+
+/// Waits for bytes and puts what fits into the ring, in one piece with what it holds. An error at the end.
+async fn receive(mut stream: &Async<TcpStream>, ring: &mut Ring) -> Result<()> {
+    let mut chunk = [0; 8 * 1024];
+    let room = ring.room().min(chunk.len());
+    let count = stream.read(&mut chunk[..room]).await?;
+    if count == 0 {
+        return Err(ErrorKind::UnexpectedEof.into());
+    }
+    let _ = ring.put(&chunk[..count]);
+    ring.straighten();
+    Ok(())
+}
+
 /// What the owner of the module is told.
 pub enum Input {
     Arrived {
--- a/crates/server/src/memory/connections.rs
+++ b/crates/server/src/memory/connections.rs
@@ -44,7 +44,6 @@
 pub struct Standing {
     pub healthy: Cell<bool>,
     pub advertised: Cell<Option<f64>>,
-    pub leaving: Cell<bool>,
 }
 
 #[derive(Default)]
