SIGHUP reads the configuration again: link, calls and reports follow the new addresses

Seen: every server ended with 129 at the first SIGHUP, 11 invocations lost with it. Checked: async-signal was subscribed to TERM, INT and USR1 only (signals.rs), so the default action ended the program; and addresses were read once, at the start. The scenario reload fails without it (the server ends).

--- a/crates/server/src/lifecycle/configuration.rs
+++ b/crates/server/src/lifecycle/configuration.rs
@@ -1,19 +1,29 @@
-//! What the server is told at its start, from one JSON file.
+//! What the server is told at its start, from one JSON file, and what of it a reload changes.
 
 use anyhow::{Context, Result, anyhow, bail, ensure};
 use meadowstream::{Effect, Halting};
 use meadowstream_settings::Read;
 use serde_json::Value;
+use std::cell::Cell;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
-pub struct Configuration {
-    pub name: String,
-    pub listen: SocketAddr,
+/// Where the other parties are.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Addresses {
     pub interpreter: SocketAddr,
     pub catalog: SocketAddr,
     /// Where calls go; the last tier makes none.
     pub records: Option<SocketAddr>,
+}
+
+pub struct Configuration {
+    /// The file it was read from.
+    pub path: PathBuf,
+    pub name: String,
+    pub listen: SocketAddr,
+    /// Only these may change while the server runs.
+    pub addresses: Cell<Addresses>,
     pub seed: u64,
     /// From the notice to leave to the stop, in milliseconds.
     pub stop_ms: u64,
@@ -26,10 +36,22 @@
     pub fn load(path: &Path) -> Result<Self> {
         let text =
             std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
-        Self::read(&text)
+        Self::read(&text, path)
+    }
+
+    /// Reads the file once more and takes its addresses over; where it cannot be served all stays as it is.
+    pub fn reload(&self) -> Result<()> {
+        let new = Self::load(&self.path)?;
+        let before = self.addresses.get().records.is_some();
+        ensure!(
+            before == new.addresses.get().records.is_some(),
+            "records: a call more or less takes a restart"
+        );
+        self.addresses.set(new.addresses.get());
+        Ok(())
     }
 
-    pub fn read(text: &str) -> Result<Self> {
+    pub fn read(text: &str, path: &Path) -> Result<Self> {
         let file: Value = serde_json::from_str(text).context("not JSON")?;
         let at = |path: &str| {
             let place = path.split('.').try_fold(&file, |value, name| value.get(name));
@@ -46,11 +68,14 @@
         ensure!(!name.is_empty() && !name.contains(char::is_whitespace), "name: {name:?} is not one word");
         let records = at("records").is_ok_and(|value| !value.is_null()).then(|| address("records"));
         let configuration = Self {
+            path: path.to_path_buf(),
             name: name.to_string(),
             listen: address("listen")?,
-            interpreter: address("vm")?,
-            catalog: address("directory")?,
-            records: records.transpose()?,
+            addresses: Cell::new(Addresses {
+                interpreter: address("vm")?,
+                catalog: address("directory")?,
+                records: records.transpose()?,
+            }),
             seed: u64::from_str_radix(seed, 16).map_err(|_| anyhow!("seed: {seed:?} is not hexadecimal"))?,
             stop_ms: whole("stop_ms")?,
             memory_mb: whole("limits.memory_mb")?,
@@ -81,7 +106,7 @@
             self.settings.share_reads_for == 0,
             "settings: family-info.share-for: reads are not shared on this wire"
         );
-        if self.records.is_none() && site.below != meadowstream::Below::Nothing {
+        if self.addresses.get().records.is_none() && site.below != meadowstream::Below::Nothing {
             bail!("records is missing, though settings: family-info.below names a tier");
         }
         Ok(())
--- a/crates/server/src/lifecycle/signals.rs
+++ b/crates/server/src/lifecycle/signals.rs
@@ -1,4 +1,4 @@
-//! Signals: the notice to leave, and the wish to see the counters.
+//! Signals: the notice to leave, new addresses, and the wish to see the counters.
 
 use super::tasks::{Input, Server};
 use anyhow::Result;
@@ -6,10 +6,10 @@
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use std::rc::Rc;
-use tracing::info;
+use tracing::{info, warn};
 
 pub fn subscribe() -> Result<Signals> {
-    Ok(Signals::new([Signal::Term, Signal::Int, Signal::Usr1])?)
+    Ok(Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup])?)
 }
 
 /// Holds the sender whose end tells all tasks that the server leaves.
@@ -17,6 +17,7 @@
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Usr1) => info!("counters:{}", server.counters),
+            Ok(Signal::Hup) => reload(&server),
             Ok(_) if stay.close() => {
                 info!("told to leave");
                 server.connections.all_enough();
@@ -26,3 +27,15 @@
         }
     }
 }
+
+/// Guards against parties that have moved: what was open to the old places ends soon. A file that cannot
+/// be served changes nothing.
+fn reload(server: &Server) {
+    if let Err(error) = server.configuration.reload() {
+        return warn!("configuration kept as it was: {error:#}");
+    }
+    server.counters.reloads.add();
+    info!(addresses = ?server.configuration.addresses.get(), "configuration read again");
+    server.pool.close_all();
+    let _ = server.moved.0.try_send(());
+}
--- a/crates/server/src/lifecycle/tasks/catalog.rs
+++ b/crates/server/src/lifecycle/tasks/catalog.rs
@@ -14,7 +14,6 @@
 const LOOK: Duration = Duration::from_millis(50);
 
 pub async fn report(server: Rc<Server>) {
-    let to = server.configuration.catalog;
     let any = std::net::SocketAddr::new(server.configuration.listen.ip(), 0);
     let socket = match Async::<UdpSocket>::bind(any) {
         Ok(socket) => socket,
@@ -28,7 +27,7 @@
         }
         let report = catalog::report(&server.configuration.name, server.standing.healthy.get());
         // Nothing waits for it: what cannot be sent now is not sent.
-        let sent = socket.get_ref().send_to(report.as_bytes(), to);
+        let sent = socket.get_ref().send_to(report.as_bytes(), server.configuration.addresses.get().catalog);
         if let (Err(error), false) = (&sent, trouble) {
             warn!(%error, "cannot report to the catalog");
         }
--- a/crates/server/src/lifecycle/tasks/decisions.rs
+++ b/crates/server/src/lifecycle/tasks/decisions.rs
@@ -404,7 +404,9 @@
     }
 
     fn call(&mut self, inv: u64, timeout: Nanos) {
-        let Some(to) = self.server.configuration.records else { return self.cannot(inv, "a call") };
+        let Some(to) = self.server.configuration.addresses.get().records else {
+            return self.cannot(inv, "a call");
+        };
         let number = self.number();
         let Some(invocation) = self.invocations.get(inv) else { return };
         let (reference, body) = (invocation.reference, invocation.asked.clone());
--- a/crates/server/src/lifecycle/tasks/link.rs
+++ b/crates/server/src/lifecycle/tasks/link.rs
@@ -24,7 +24,11 @@
     let mut pause = PAUSE;
     loop {
         let mut linked = false;
-        if let Err(error) = session(&server, &mut last_read, &mut linked).await
+        let moved = async {
+            let _ = server.moved.1.recv().await;
+            Err(std::io::Error::other("the interpreter has another address"))
+        };
+        if let Err(error) = future::or(moved, session(&server, &mut last_read, &mut linked)).await
             && linked
         {
             warn!(%error, last_read, "link to the interpreter lost");
@@ -38,7 +42,7 @@
 }
 
 async fn session(server: &Server, last_read: &mut u64, linked: &mut bool) -> Result<()> {
-    let stream = Async::<TcpStream>::connect(server.configuration.interpreter).await?;
+    let stream = Async::<TcpStream>::connect(server.configuration.addresses.get().interpreter).await?;
     stream.get_ref().set_nodelay(true)?;
     (&stream).write_all(&interpreter::connect(*last_read)).await?;
     let (commands, queue) = async_channel::bounded(COMMANDS);
--- a/crates/server/src/lifecycle/tasks/mod.rs
+++ b/crates/server/src/lifecycle/tasks/mod.rs
@@ -31,6 +31,8 @@
     pub descriptors: Descriptors,
     pub pool: Pool,
     pub counters: Counters,
+    /// Says that the interpreter has another address.
+    pub moved: (Sender<()>, Receiver<()>),
     /// Closed once the server is to leave.
     pub left: Receiver<()>,
 }
--- a/crates/server/src/memory/pool.rs
+++ b/crates/server/src/memory/pool.rs
@@ -14,6 +14,7 @@
 /// A connection and its place among the descriptors.
 pub struct Pooled {
     pub stream: Async<TcpStream>,
+    to: SocketAddr,
     _place: Place,
 }
 
@@ -26,23 +27,24 @@
     /// The connection used last or, once there is a descriptor for it, a new one.
     pub async fn take(&self, to: SocketAddr, descriptors: &Descriptors) -> std::io::Result<Pooled> {
         loop {
-            if let Some(pooled) = self.take_idle() {
+            if let Some(pooled) = self.take_idle(to) {
                 return Ok(pooled);
             }
             if let Some(place) = descriptors.for_call() {
-                return Ok(Pooled { stream: Async::<TcpStream>::connect(to).await?, _place: place });
+                return Ok(Pooled { stream: Async::<TcpStream>::connect(to).await?, to, _place: place });
             }
             Timer::after(LOOK).await;
         }
     }
 
-    /// Passes over one that the other side has closed or on which it has said something unasked.
-    fn take_idle(&self) -> Option<Pooled> {
+    /// Passes over one that the other side has closed or on which it has said something unasked, and one
+    /// to where calls went before a reload.
+    fn take_idle(&self, to: SocketAddr) -> Option<Pooled> {
         self.close_old();
         loop {
             let (pooled, _) = self.idle.borrow_mut().pop()?;
             let quiet = pooled.stream.get_ref().peek(&mut [0]);
-            if quiet.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock) {
+            if pooled.to == to && quiet.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock) {
                 return Some(pooled);
             }
         }
--- a/crates/server/tests/server.rs
+++ b/crates/server/tests/server.rs
@@ -34,6 +34,7 @@
 #[test_case("catalog")]
 #[test_case("gauges_late")]
 #[test_case("adds_up")]
+#[test_case("reload")]
 #[test_case("cannot_be_served")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
--- a/crates/server/tests/stand_ins.rs
+++ b/crates/server/tests/stand_ins.rs
@@ -14,6 +14,8 @@
 //!   `notice JSON` (TAG written `#7` becomes its reference, `=text=` base64), `gauges on|off`, `unlink`.
 //! - `called TAG BODY`, `reply STATUS BODY [HEADER]`, `hang up` (on the call), `given up` (by the server),
 //!   `no records` (connections there are refused).
+//! - `moves` (all but the balancers stand elsewhere now, and the server is told), `rewrite` (the file is as
+//!   configured, and the server is told).
 //! - `descriptors N` (before the start), `holds-at-most N`; `counts COUNTER LEAST`; `reported WORDS`;
 //!   `repeat N STEP` with `%` for the number.
 
@@ -55,6 +57,10 @@
     format!("{:016x}", 0xabc0_0000_0000 + tag.parse::<u64>().expect("a tag"))
 }
 
+fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").unwrap()
+}
+
 fn patient(stream: TcpStream) -> BufReader<TcpStream> {
     stream.set_read_timeout(Some(PATIENCE)).unwrap();
     stream.set_nodelay(true).unwrap();
@@ -110,8 +116,7 @@
 
 impl Stage {
     fn new(name: &str) -> Self {
-        let vm = TcpListener::bind("127.0.0.1:0").unwrap();
-        let records = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (vm, records) = (listener(), listener());
         let catalog = UdpSocket::bind("127.0.0.1:0").unwrap();
         catalog.set_read_timeout(Some(PATIENCE)).unwrap();
         let address = |listener: &TcpListener| listener.local_addr().unwrap().to_string();
@@ -160,8 +165,12 @@
         *place = serde_json::from_str(value).expect("JSON");
     }
 
+    fn file(&self) -> PathBuf {
+        std::env::temp_dir().join(format!("{}-{}.json", self.name, std::process::id()))
+    }
+
     fn start(&mut self) {
-        let file: PathBuf = std::env::temp_dir().join(format!("{}-{}.json", self.name, std::process::id()));
+        let file = self.file();
         std::fs::write(&file, self.configuration.to_string()).unwrap();
         let most = self.descriptors.as_deref().unwrap_or("1024");
         let mut server = Command::new("sh")
@@ -423,6 +432,16 @@
                 let mut byte = [0];
                 assert_eq!(self.call.take().expect("a call").read(&mut byte).expect("in time"), 0);
             }
+            ["moves"] => {
+                (self.vm, self.records) = (listener(), Some(listener()));
+                self.configuration["vm"] = json!(self.vm.local_addr().unwrap());
+                self.configuration["records"] = json!(self.records.as_ref().unwrap().local_addr().unwrap());
+                self.step("rewrite");
+            }
+            ["rewrite"] => {
+                std::fs::write(self.file(), self.configuration.to_string()).unwrap();
+                self.signal("HUP");
+            }
             ["no", "records"] => self.records = None,
             ["reported", ..] => {
                 let mut datagram = [0; 100];
@@ -444,11 +463,7 @@
         if let Some(server) = &mut self.server {
             let _ = server.kill().and_then(|()| server.wait());
         }
-        let _ = std::fs::remove_file(std::env::temp_dir().join(format!(
-            "{}-{}.json",
-            self.name,
-            std::process::id()
-        )));
+        let _ = std::fs::remove_file(self.file());
     }
 }
 
