Replies of two lengths are malformed, 1xx heads passed over, call connections rest before reuse

Checked with a probe in call.rs (kept out): of two Content-Length headers the first was believed (http.rs), so part of the body went to the run; a 1xx head was taken for the reply, outcome unknown, its call repeated; a missing length meant an empty result. Guarded besides: a second copy that comes after the next call went out on the same connection (20 ms of quiet). Tests of the parser and of the pool, each failing before.

--- a/crates/server/src/lifecycle/tasks/call.rs
+++ b/crates/server/src/lifecycle/tasks/call.rs
@@ -56,7 +56,7 @@
     call: &Call,
 ) -> std::io::Result<(http::Reply, bool)> {
     stream.write_all(&http::call(&to.to_string(), call.reference, call.timeout, &call.body)).await?;
-    let mut ring = Ring::new(http::HEAD_MAX + http::BODY_MAX + 4);
+    let mut ring = Ring::new(http::REPLY_MAX);
     loop {
         receive(stream, &mut ring).await?;
         match http::reply(ring.front()) {
--- a/crates/server/src/memory/pool.rs
+++ b/crates/server/src/memory/pool.rs
@@ -8,6 +8,9 @@
 
 /// Half of the 10 s after which the other side closes: it may be about to close what is older.
 const KEPT_FOR: Duration = Duration::from_secs(5);
+/// What is less quiet is not used again yet: a second copy of its reply may still come, and the next call
+/// would take it for its own.
+const QUIET_FOR: Duration = Duration::from_millis(20);
 /// A call that finds no descriptor looks again after this long.
 const LOOK: Duration = Duration::from_millis(2);
 
@@ -27,7 +30,7 @@
     /// The connection used last or, once there is a descriptor for it, a new one.
     pub async fn take(&self, to: SocketAddr, descriptors: &Descriptors) -> std::io::Result<Pooled> {
         loop {
-            if let Some(pooled) = self.take_idle(to) {
+            if let Some(pooled) = self.take_idle(to, Instant::now()) {
                 return Ok(pooled);
             }
             if let Some(place) = descriptors.for_call() {
@@ -39,10 +42,12 @@
 
     /// Passes over one that the other side has closed or on which it has said something unasked, and one
     /// to where calls went before a reload.
-    fn take_idle(&self, to: SocketAddr) -> Option<Pooled> {
+    fn take_idle(&self, to: SocketAddr, now: Instant) -> Option<Pooled> {
         self.close_old();
         loop {
-            let (pooled, _) = self.idle.borrow_mut().pop()?;
+            let mut idle = self.idle.borrow_mut();
+            let last = idle.iter().rposition(|(_, since)| now.duration_since(*since) >= QUIET_FOR)?;
+            let (pooled, _) = idle.remove(last);
             let quiet = pooled.stream.get_ref().peek(&mut [0]);
             if pooled.to == to && quiet.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock) {
                 return Some(pooled);
@@ -63,3 +68,21 @@
         self.idle.borrow_mut().clear();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::TcpListener;
+
+    #[test]
+    fn none_is_used_again_before_it_was_quiet_for_a_while() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let to = listener.local_addr().unwrap();
+        let (pool, descriptors) = (Pool::default(), Descriptors::within(1024).unwrap());
+        let pooled = futures_lite::future::block_on(pool.take(to, &descriptors)).unwrap();
+        pool.give_back(pooled);
+        let since = pool.idle.borrow()[0].1;
+        assert!(pool.take_idle(to, since + QUIET_FOR / 2).is_none());
+        assert!(pool.take_idle(to, since + QUIET_FOR).is_some());
+    }
+}
--- a/crates/server/src/wire/http.rs
+++ b/crates/server/src/wire/http.rs
@@ -4,8 +4,10 @@
 use meadowstream::{Ending, Nanos};
 
 /// Longest head and longest body of a reply.
-pub const HEAD_MAX: usize = 4096;
-pub const BODY_MAX: usize = 16 * 1024;
+const HEAD_MAX: usize = 4096;
+const BODY_MAX: usize = 16 * 1024;
+/// All that may come before a reply is whole: heads that announce it, its own, its body.
+pub const REPLY_MAX: usize = 2 * (HEAD_MAX + 4) + BODY_MAX;
 
 pub fn call(host: &str, reference: u64, timeout: Nanos, body: &[u8]) -> Vec<u8> {
     let head = format!(
@@ -25,7 +27,25 @@
     pub stays: bool,
 }
 
+/// The reply, after any heads of 1xx that announce it. Strict: what could be read in two ways may carry what
+/// no call returned.
 pub fn reply(bytes: &[u8]) -> Parsed<Reply> {
+    let mut at = 0;
+    loop {
+        match reply_or_interim(&bytes[at..]) {
+            Parsed::Whole(Some(reply), used) => return Parsed::Whole(reply, at + used),
+            Parsed::Whole(None, used) => at += used,
+            Parsed::More => return Parsed::More,
+            Parsed::Malformed(why) => return Parsed::Malformed(why),
+        }
+        if at > HEAD_MAX {
+            return Parsed::Malformed("endless heads before the reply");
+        }
+    }
+}
+
+/// `None` for a head that only announces.
+fn reply_or_interim(bytes: &[u8]) -> Parsed<Option<Reply>> {
     let head_end = bytes.windows(4).take(HEAD_MAX).position(|four| four == b"\r\n\r\n");
     let Some(head_end) = head_end else {
         return if bytes.len() < HEAD_MAX + 4 { Parsed::More } else { Parsed::Malformed("an endless head") };
@@ -34,21 +54,35 @@
         return Parsed::Malformed("a head that is no text");
     };
     let mut lines = head.split("\r\n");
-    let status = lines.next().and_then(|line| line.strip_prefix("HTTP/1.1 ")).and_then(|rest| rest.get(..3));
-    let Some(status) = status.and_then(|digits| digits.parse::<u16>().ok()) else {
+    let status = lines.next().and_then(|line| line.strip_prefix("HTTP/1.1 "));
+    let status = status.map(|rest| rest.split_once(' ').map_or(rest, |(digits, _)| digits));
+    let Some(status) = status.filter(|digits| digits.len() == 3).and_then(whole_number) else {
         return Parsed::Malformed("no status line of HTTP/1.1");
     };
+    let named =
+        |line: &str| line.split_once(':').is_some_and(|(key, _)| !key.is_empty() && !key.contains(' '));
+    if !lines.clone().all(named) {
+        return Parsed::Malformed("a header that is none");
+    }
     let headers = || lines.clone().filter_map(|line| line.split_once(':'));
-    let header = |name: &str| headers().find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|x| x.1.trim());
+    let all = |name: &'static str| {
+        headers().filter(move |(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
+    };
+    let header = |name| all(name).next();
+    let start = head_end + 4;
+    if (100..200).contains(&status) {
+        return Parsed::Whole(None, start);
+    }
     let stays = !header("Connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
     if header("Transfer-Encoding").is_some() {
         return Parsed::Malformed("a body of no stated length");
     }
-    let len = header("Content-Length").unwrap_or("0").parse::<usize>();
-    let Some(len) = len.ok().filter(|len| *len <= BODY_MAX) else {
+    // One that bears no result may leave its length out, one with a result may not.
+    let stated = header("Content-Length").or((status != 200).then_some("0"));
+    let agreed = stated.filter(|stated| all("Content-Length").all(|other| other == *stated));
+    let Some(len) = agreed.and_then(whole_number).filter(|len| *len <= BODY_MAX) else {
         return Parsed::Malformed("a body of no good length");
     };
-    let start = head_end + 4;
     let Some(body) = bytes.get(start..start + len) else { return Parsed::More };
     // Only these prove that nothing ran; whatever else came of it may have had its effect.
     let not_begun = matches!(status, 503 | 409) && header("Op-Not-Begun") == Some("1");
@@ -58,5 +92,10 @@
         _ if not_begun => Ending::NeverRan,
         _ => Ending::Unknown,
     };
-    Parsed::Whole(Reply { ending, body: body.to_vec(), stays }, start + len)
+    Parsed::Whole(Some(Reply { ending, body: body.to_vec(), stays }), start + len)
+}
+
+/// Digits alone: no sign.
+fn whole_number(text: &str) -> Option<usize> {
+    text.parse().ok().filter(|_| text.bytes().all(|byte| byte.is_ascii_digit()))
 }
--- a/crates/server/src/wire/tests.rs
+++ b/crates/server/src/wire/tests.rs
@@ -135,6 +135,14 @@
     never_panics(REPLY, |bytes| extent(http::reply(bytes)));
 }
 
+#[test]
+fn heads_that_announce_a_reply_are_passed_over() {
+    let early = [b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Wait\r\n\r\n", REPLY].concat();
+    whole_or_more(&early, |bytes| extent(http::reply(bytes)));
+    let Parsed::Whole(reply, _) = http::reply(&early) else { panic!("not taken") };
+    assert_eq!((reply.ending, reply.body), (Ending::NeverRan, b"abc".to_vec()));
+}
+
 #[test_case("200", "", Ending::Succeeded)]
 #[test_case("503", "Op-Not-Begun: 1\r\n", Ending::NeverRan)]
 #[test_case("409", "op-not-begun:1\r\n", Ending::NeverRan)]
@@ -154,7 +162,13 @@
 #[test_case(b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n"; "a body too long")]
 #[test_case(b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"; "a negative length")]
 #[test_case(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"; "no stated length")]
-#[test_case(&[b'x'; http::HEAD_MAX + 4]; "an endless head")]
+#[test_case(b"HTTP/1.1 +20 OK\r\nContent-Length: 0\r\n\r\n"; "a signed status")]
+#[test_case(b"HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nhi"; "a signed length")]
+#[test_case(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nhi"; "two lengths")]
+#[test_case(b"HTTP/1.1 200 OK\r\n\r\nhi"; "a result of no length")]
+#[test_case(b"HTTP/1.1 200 OK\r\nnoise\r\nContent-Length: 2\r\n\r\nhi"; "a header that is none")]
+#[test_case(&b"HTTP/1.1 102 Wait\r\n\r\n".repeat(200); "endless heads before it")]
+#[test_case(&[b'x'; http::REPLY_MAX]; "an endless head")]
 fn malformed_replies(bytes: &[u8]) {
     assert!(matches!(http::reply(bytes), Parsed::Malformed(_)));
 }
