Connections that say nothing end, idle ones give way when short; reports each 300 ms

Cause: accept.rs allowed only as many connections as could all fill both rings (memory / 2 / 173 KiB), and short of room it asked idle ones to go, which took a second each; crowds that never speak held the rest. Now what rings hold is counted, a silent connection ends after 1.5 s and gives way first. Ruled out: the CPU limit (0.3 s used in 20 s), memory (1 MB). Scenarios silent, idle_gives_way, connections_full and descriptors_gone fail without it. What is open still: servers go unhealthy from what bad clients send.

--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -41,6 +41,7 @@
         standing: Standing { healthy: Cell::new(true), advertised: Cell::new(None) },
         pool: Pool::default(),
         descriptors,
+        buffered: Cell::new(0),
         moved: async_channel::bounded(1),
         counters: Counters::default(),
         left,
--- a/crates/server/src/lifecycle/tasks/catalog.rs
+++ b/crates/server/src/lifecycle/tasks/catalog.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 use tracing::warn;
 
-/// A third of the 3 s after which the catalog forgets a server.
-const EVERY: Duration = Duration::from_secs(1);
+/// A tenth of the 3 s after which the catalog forgets a server: guards against reports that are lost. With
+/// one in four lost, three a while lapse often, ten hardly ever.
+const EVERY: Duration = Duration::from_millis(300);
 /// Before the module has started it is looked this often whether it has.
 const LOOK: Duration = Duration::from_millis(50);
 
--- a/crates/server/src/lifecycle/tasks/connection.rs
+++ b/crates/server/src/lifecycle/tasks/connection.rs
@@ -11,13 +11,20 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::time::Duration;
 use tracing::debug;
 
 /// Longest answer, and room for all that can be owed at once and for `enough`.
 const ANSWER_MAX: usize = resp::WORD_MAX + 256;
 const OUT_MAX: usize = (OPEN_MAX + 1) * ANSWER_MAX;
-/// What the two rings of a connection can grow to.
-pub const BUFFERED_MAX: usize = resp::ARRAY_MAX + OUT_MAX;
+/// Part of the memory limit that all rings may fill, with what is owed; beyond it nothing is taken, and it is
+/// looked this often whether there is room again.
+const BUFFERS: usize = 2;
+const LOOK: Duration = Duration::from_millis(10);
+/// What has begun to come is whole within this time, and so is the first that comes on a connection, or the
+/// connection ends. Guards against peers that hold connections and say nothing; a call that crosses the end
+/// comes again on another. Harms a peer that needs as long for 2 KiB.
+const SILENT: Nanos = 1_500_000_000;
 /// Once it has heard `enough` a peer closes when all is answered; where it does not, this much later the
 /// connection is closed here. Guards descriptors; a call cannot cross it, since none is sent after `enough`.
 const LINGER: Nanos = 1_000_000_000;
@@ -35,6 +42,18 @@
     tags: Vec<u64>,
     /// Nothing more is read: the peer has ended, or what it sends is no RESP.
     deaf: bool,
+    /// Since when something is to come that is not whole yet.
+    waits_since: Option<Nanos>,
+    /// Ends as soon as nothing is open.
+    gives_way: bool,
+    /// Part of `Server::buffered`.
+    buffered: usize,
+}
+
+impl Drop for Talk {
+    fn drop(&mut self) {
+        self.server.buffered.set(self.server.buffered.get() - self.buffered);
+    }
 }
 
 /// Counts the connection from now on, before its task has run: nothing that was accepted is overlooked.
@@ -62,6 +81,9 @@
         outgoing: Ring::new(OUT_MAX),
         tags: Vec::new(),
         deaf: false,
+        waits_since: Some(server.clock.now()),
+        gives_way: false,
+        buffered: 0,
     };
     if let Err(error) = talk.go_on().await {
         debug!(id, %error, "connection broke");
@@ -80,9 +102,12 @@
             }
             self.take_commands().await?;
             self.write()?;
-            if self.deaf && self.tags.is_empty() && self.outgoing.is_empty() {
+            let all_said = self.tags.is_empty() && self.outgoing.is_empty();
+            if (self.deaf || self.gives_way) && all_said {
                 return Ok(());
             }
+            self.count_buffers();
+            let crowded = !self.deaf && !self.has_room();
             let listens = !self.deaf && self.may_take() && self.incoming.room() > 0;
             let readable = async {
                 if !listens {
@@ -102,7 +127,14 @@
                 Timer::at(self.server.clock.instant(end)).await;
                 Err(ErrorKind::TimedOut.into())
             };
-            let any = future::or(told, future::or(writable, future::or(readable, end)));
+            let look = async {
+                if !crowded {
+                    future::pending::<()>().await;
+                }
+                Timer::after(LOOK).await;
+                Ok((false, None))
+            };
+            let any = future::or(told, future::or(writable, future::or(readable, future::or(look, end))));
             let (read, told) = any.await?;
             told.map_or(Ok(()), |told| self.say(told))?;
             if read {
@@ -114,7 +146,20 @@
     /// All that is owed fits into the ring, with one answer more.
     fn may_take(&self) -> bool {
         let owed = self.tags.len();
-        owed < OPEN_MAX && self.outgoing.room() >= (owed + 2) * ANSWER_MAX
+        owed < OPEN_MAX && self.outgoing.room() >= (owed + 2) * ANSWER_MAX && self.has_room()
+    }
+
+    /// Guards memory: many connections that each hold little may hold too much together.
+    fn has_room(&self) -> bool {
+        self.server.buffered.get() < (self.server.configuration.memory_mb << 20) as usize / BUFFERS
+    }
+
+    /// What the rings hold, and for each open call its body and the answer it will get.
+    fn count_buffers(&mut self) {
+        let rings = resp::ARRAY_MAX - self.incoming.room() + OUT_MAX - self.outgoing.room();
+        let now = rings + self.tags.len() * 2 * ANSWER_MAX;
+        self.server.buffered.set(self.server.buffered.get() + now - self.buffered);
+        self.buffered = now;
     }
 
     /// When the peer has had its time to read what is written, or to close what is to go. Guards against
@@ -125,12 +170,17 @@
             let operations = &self.server.configuration.settings.deployment.operations;
             return operations.iter().map(|op| used + op.client_timeout).max();
         }
-        (self.connection.leaving.get() && self.tags.is_empty()).then_some(used + LINGER)
+        let leaves = self.connection.leaving.get().then_some(used + LINGER);
+        let silent = self.waits_since.map(|since| since + SILENT);
+        leaves.into_iter().chain(silent).min().filter(|_| self.tags.is_empty())
     }
 
     fn read(&mut self) -> std::io::Result<()> {
         let mut chunk = [0; CHUNK];
         let room = self.incoming.room().min(CHUNK);
+        if room == 0 {
+            return Ok(());
+        }
         match self.stream.get_ref().read(&mut chunk[..room]) {
             Ok(0) => self.deaf = true,
             Ok(count) => {
@@ -163,7 +213,12 @@
     async fn take_commands(&mut self) -> std::io::Result<()> {
         while !self.deaf && self.may_take() {
             let (command, used) = match resp::array(self.incoming.front()) {
-                Parsed::More => break,
+                Parsed::More => {
+                    if !self.incoming.is_empty() {
+                        self.waits_since.get_or_insert(self.server.clock.now());
+                    }
+                    break;
+                }
                 Parsed::Malformed(why) => {
                     self.server.counters.malformed.add();
                     debug!(id = self.connection.id, why, "malformed");
@@ -173,9 +228,13 @@
                 Parsed::Whole(words, used) => (self.input(rpc::command(&words)), used),
             };
             self.incoming.drop_front(used);
+            self.waits_since = None;
+            self.connection.stays();
+            self.gives_way = false;
             match command {
                 Taken::Input(tag, input) => {
                     self.tags.push(tag);
+                    self.count_buffers();
                     self.connection.open.set(self.tags.len());
                     let _ = self.server.inputs.send(input).await;
                 }
@@ -235,6 +294,11 @@
                 }
                 self.put(tag, &answer)
             }
+            Told::GiveWay => {
+                // What has come by now is still taken.
+                self.gives_way = true;
+                self.read()
+            }
             Told::Enough => {
                 self.server.counters.enough_sent.add();
                 let mut bytes = Vec::new();
--- a/crates/server/src/lifecycle/tasks/mod.rs
+++ b/crates/server/src/lifecycle/tasks/mod.rs
@@ -16,6 +16,7 @@
 use async_io::Async;
 use futures_lite::AsyncReadExt;
 use meadowstream::{Ending, Nanos};
+use std::cell::Cell;
 use std::io::{ErrorKind, Result};
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -31,6 +32,8 @@
     pub descriptors: Descriptors,
     pub pool: Pool,
     pub counters: Counters,
+    /// Bytes that connections hold, or will when what is open on them is answered.
+    pub buffered: Cell<usize>,
     /// Says that the interpreter has another address.
     pub moved: (Sender<()>, Receiver<()>),
     /// Closed once the server is to leave.
--- a/crates/server/src/memory/connections.rs
+++ b/crates/server/src/memory/connections.rs
@@ -9,12 +9,19 @@
 
 /// Calls that may be open on one connection; what comes beyond waits unread.
 pub const OPEN_MAX: usize = 32;
+/// A connection has this long to bring its first call before it may have to give way, and this long after it
+/// was used last. Guards against crowds that only hold connections; a call that crosses the end of its
+/// connection comes again on another. Harms where as many honest ones come within that time.
+const FRESH: Nanos = 50_000_000;
+const USED_LATELY: Nanos = 10 * FRESH;
 
 /// What a connection is told from elsewhere.
 pub enum Told {
     Answer(u64, Answer),
     /// No new call is wanted on it.
     Enough,
+    /// Its place is needed: it ends unless it has something to do.
+    GiveWay,
 }
 
 pub struct Connection {
@@ -24,7 +31,10 @@
     pub open: Cell<usize>,
     /// When it last carried something.
     pub used: Cell<Nanos>,
+    /// Something whole has come on it.
+    spoke: Cell<bool>,
     pub leaving: Cell<bool>,
+    gives_way: Cell<bool>,
 }
 
 impl Connection {
@@ -33,6 +43,12 @@
         self.told.try_send(told).is_ok()
     }
 
+    /// It has spoken, and need not give way.
+    pub fn stays(&self) {
+        self.spoke.set(true);
+        self.gives_way.set(false);
+    }
+
     pub fn enough(&self) {
         if !self.leaving.replace(true) {
             self.tell(Told::Enough);
@@ -54,14 +70,16 @@
 
 impl Connections {
     pub fn open(&self, now: Nanos) -> (Rc<Connection>, Receiver<Told>) {
-        let (told, hears) = async_channel::bounded(OPEN_MAX + 1);
+        let (told, hears) = async_channel::bounded(OPEN_MAX + 2);
         self.last.set(self.last.get() + 1);
         let connection = Rc::new(Connection {
             id: self.last.get(),
             told,
             open: Cell::new(0),
             used: Cell::new(now),
+            spoke: Cell::new(false),
             leaving: Cell::new(false),
+            gives_way: Cell::new(false),
         });
         self.open.borrow_mut().insert(connection.id, connection.clone());
         (connection, hears)
@@ -79,6 +97,20 @@
         self.open.borrow().values().for_each(|each| each.enough());
     }
 
+    /// Of those that have nothing open one that never spoke or else the one unused for longest ends. False
+    /// where all may still stay.
+    pub fn one_gives_way(&self, now: Nanos) -> bool {
+        let open = self.open.borrow();
+        let may_stay = |each: &Connection| if each.spoke.get() { USED_LATELY } else { FRESH };
+        let idle = open.values().filter(|each| each.open.get() == 0 && !each.gives_way.get());
+        let idle = idle.filter(|each| each.used.get() + may_stay(each) <= now);
+        let first = idle.min_by_key(|each| (each.spoke.get(), each.used.get()));
+        first.is_some_and(|each| {
+            each.gives_way.set(true);
+            each.tell(Told::GiveWay)
+        })
+    }
+
     /// Those that have carried nothing since then are to go.
     pub fn idle_enough(&self, since: Nanos) {
         let open = self.open.borrow();
--- a/crates/server/src/memory/descriptors.rs
+++ b/crates/server/src/memory/descriptors.rs
@@ -48,6 +48,10 @@
         (room && self.held.all.get() < self.places).then(|| self.place(1))
     }
 
+    pub fn mostly_taken(&self) -> bool {
+        2 * self.held.connections.get() > self.places
+    }
+
     /// Leaves room for connections, since a call can wait and what the kernel accepted cannot.
     pub fn for_call(&self) -> Option<Place> {
         (self.held.all.get() + self.spare() / 2 < self.places).then(|| self.place(0))
--- a/crates/server/tests/server.rs
+++ b/crates/server/tests/server.rs
@@ -26,6 +26,8 @@
 #[test_case("connections_full")]
 #[test_case("calls_wait_for_descriptors")]
 #[test_case("idle_connection")]
+#[test_case("idle_gives_way")]
+#[test_case("silent")]
 #[test_case("drain")]
 #[test_case("drain_late")]
 #[test_case("drain_takes_the_backlog")]
