Calls that the interpreter does not know teach the module nothing, odd ages are errored

Checked in their logs: 90 to 128 ERRORs to APPLY a server, for calls bad clients made up; each went to the module as a run that failed (decisions.rs), so that beyond a quarter of failures it refused honest arrivals for its health. A void of an open invocation taught the same. The age of a call was believed whatever it said; one too old looked like reading in arrears. class_rank and sender were not looked at. Scenario made_up_calls fails without it.

--- a/crates/server/src/lifecycle/clock.rs
+++ b/crates/server/src/lifecycle/clock.rs
@@ -25,8 +25,9 @@
         self.started + Duration::from_nanos(at.saturating_sub(self.unix))
     }
 
-    /// How long ago a Unix time in milliseconds was; 0 for what is still to come.
-    pub fn age(&self, since_ms: u64) -> Nanos {
-        unix().saturating_sub(since_ms.saturating_mul(1_000_000))
+    /// How long ago a Unix time in milliseconds was; below 0 for what is still to come.
+    pub fn age(&self, since_ms: u64) -> i64 {
+        let since = i64::try_from(since_ms).unwrap_or(i64::MAX).saturating_mul(1_000_000);
+        (unix() as i64).saturating_sub(since)
     }
 }
--- a/crates/server/src/lifecycle/tasks/connection.rs
+++ b/crates/server/src/lifecycle/tasks/connection.rs
@@ -167,14 +167,18 @@
     fn ends_at(&self) -> Option<Nanos> {
         let used = self.connection.used.get();
         if !self.outgoing.is_empty() {
-            let operations = &self.server.configuration.settings.deployment.operations;
-            return operations.iter().map(|op| used + op.client_timeout).max();
+            return Some(used + self.longest_wait());
         }
         let leaves = self.connection.leaving.get().then_some(used + LINGER);
         let silent = self.waits_since.map(|since| since + SILENT);
         leaves.into_iter().chain(silent).min().filter(|_| self.tags.is_empty())
     }
 
+    fn longest_wait(&self) -> Nanos {
+        let operations = &self.server.configuration.settings.deployment.operations;
+        operations.iter().map(|op| op.client_timeout).max().unwrap_or(0)
+    }
+
     fn read(&mut self) -> std::io::Result<()> {
         let mut chunk = [0; CHUNK];
         let room = self.incoming.room().min(CHUNK);
@@ -269,6 +273,11 @@
                 let Some(operation) = names.iter().position(|name| name == call.operation) else {
                     return bad(call.tag, "unknown operation");
                 };
+                // An honest caller has given up on one that old, and none is from the time to come.
+                let (age, most) = (self.server.clock.age(call.since), self.longest_wait());
+                if age > most as i64 || age < -(most as i64) {
+                    return bad(call.tag, "since is out of range");
+                }
                 counters.invocations.add();
                 let arrived = Input::Arrived {
                     connection: self.connection.clone(),
--- a/crates/server/src/lifecycle/tasks/decisions.rs
+++ b/crates/server/src/lifecycle/tasks/decisions.rs
@@ -15,7 +15,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::rc::Rc;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// A wake that wants gauges goes without when none have come after this long: guards against a link that
 /// is down or an interpreter that does not answer. Harms where gauges are always late: the module would
@@ -170,7 +170,7 @@
             connection.tell(Told::Answer(tag, Answer::Errored));
             return;
         };
-        let age = self.hands.server.clock.age(since);
+        let age = self.hands.server.clock.age(since).max(0) as Nanos;
         let arrival = Arrival { id, operation, age, held_kb, ..Arrival::default() };
         self.with_brain(|brain, now, hands| brain.arrived(now, arrival, hands));
     }
@@ -199,9 +199,10 @@
         match notice {
             Notice::Ended { task, ending, result } => {
                 let Some(inv) = self.hands.invocations.find(task) else { return };
-                // Over for the interpreter though not answered here: run again it would be void again.
-                let answered = self.hands.invocations.get(inv).is_none_or(|invocation| invocation.answered);
-                let ending = if ending == Ending::NeverRan && !answered { Ending::Errored } else { ending };
+                // Over for the interpreter: run again it would be void again.
+                if ending == Ending::NeverRan {
+                    return self.never_was(inv);
+                }
                 self.hands.run_ended(inv, ending, result);
                 self.with_brain(|brain, now, hands| brain.finished(now, inv, ending, hands));
                 self.hands.invocations.release(inv);
@@ -225,17 +226,26 @@
             }
             Notice::NotDone { command, task } => {
                 self.hands.server.counters.commands_not_done.add();
-                warn!(command, task = task.map(|id| format!("{id:016x}")), "the interpreter did not do it");
-                // It will never run: an error, since asking again would bring the same.
+                debug!(command, task = task.map(|id| format!("{id:016x}")), "the interpreter did not do it");
                 if command == "APPLY"
-                    && let Some(task) = task
+                    && let Some(inv) = task.and_then(|task| self.hands.invocations.find(task))
                 {
-                    self.noticed(Notice::Ended { task, ending: Ending::Errored, result: Vec::new() });
+                    self.never_was(inv);
                 }
             }
             Notice::Banner { .. } | Notice::Remark => {}
         }
     }
+
+    /// The interpreter does not know it or holds it to be over: an error, since asking again would bring the
+    /// same. For the module nobody waits for it and nothing ran. Guards against calls made up by a peer, from
+    /// which it would learn that runs fail here; harms where an interpreter forgets what it was sent.
+    fn never_was(&mut self, inv: u64) {
+        self.hands.run_ended(inv, Ending::Errored, Vec::new());
+        self.with_brain(|brain, now, hands| brain.caller_gone(now, inv, hands));
+        self.with_brain(|brain, now, hands| brain.finished(now, inv, Ending::NeverRan, hands));
+        self.hands.invocations.release(inv);
+    }
 }
 
 impl Hands {
--- a/crates/server/src/wire/rpc.rs
+++ b/crates/server/src/wire/rpc.rs
@@ -61,6 +61,13 @@
     let reference =
         field("ref").filter(|text| text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit()));
     let held_kb = field("room").and_then(|text| text.parse().ok());
+    let rank = field("class_rank").map_or(Ok(0.0), str::parse::<f64>);
+    if !rank.is_ok_and(|rank| (0.0..1.0).contains(&rank)) {
+        return Err("bad rank");
+    }
+    if field("sender").is_some_and(|text| decimal(text.as_bytes()).is_none()) {
+        return Err("bad sender");
+    }
     Ok(Call {
         tag,
         operation,
--- a/crates/server/src/wire/tests.rs
+++ b/crates/server/src/wire/tests.rs
@@ -98,6 +98,10 @@
 #[test_case("ref=9b1f03aa5c7e2d41,since=99999999999999999999,room=1"; "since too large")]
 #[test_case("ref=9b1f03aa5c7e2d41,since=1,room=NaN"; "room is no number")]
 #[test_case("ref=9b1f03aa5c7e2d41,since=1,room=2000"; "room too large")]
+#[test_case("ref=9b1f03aa5c7e2d41,since=1,room=1,class_rank=1"; "rank too large")]
+#[test_case("ref=9b1f03aa5c7e2d41,since=1,room=1,class_rank=-0.5"; "negative rank")]
+#[test_case("ref=9b1f03aa5c7e2d41,since=1,room=1,class_rank=high"; "rank is no number")]
+#[test_case("ref=9b1f03aa5c7e2d41,since=1,room=1,sender=x"; "sender is no number")]
 fn bad_fields(fields: &str) {
     let words = [&b"RPC.CALL"[..], b"7", b"checkout", fields.as_bytes(), b""];
     assert!(matches!(rpc::command(&words), rpc::Command::Bad { tag: Some(7), .. }));
--- a/crates/server/tests/server.rs
+++ b/crates/server/tests/server.rs
@@ -8,6 +8,7 @@
 #[test_case("answers_in_any_order")]
 #[test_case("health_at_any_time")]
 #[test_case("bad_calls")]
+#[test_case("made_up_calls")]
 #[test_case("malformed")]
 #[test_case("split_at_every_byte")]
 #[test_case("calls_out")]
