A leaving server of few keeps its weight for the grace, callers are asked to go after it

Logs: the leaving front ended half a second after the notice, 4.5 s before callers learned it, 6.5 s before they learned of the next one; 110 to 180 attempts met refused connections. At fault: all_enough at the notice (signals.rs) and weight 0 from the notice on (brain.rs tell_callers), though what arrives within the grace may be run.

--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -329,8 +329,7 @@
         if token == TICK {
             host.wake(PERIOD, TICK);
             let running = self.running();
-            let reading = gauges.wanting.unwrap_or(0.0) - running;
-            self.reading.add(now, reading.clamp(0.0, self.site.cores));
+            self.reading.add(now, (gauges.wanting.unwrap_or(0.0) - running).clamp(0.0, self.site.cores));
             let busy = gauges.busy.unwrap_or(running / self.site.cores).min(1.0);
             self.learn_limit(busy);
             self.regulate(busy, host);
@@ -567,8 +566,10 @@
         Some(())
     }
 
+    /// A leaving server goes on for its grace where what the others keep free would not carry its work.
     fn tell_callers(&mut self, host: &mut dyn Host) -> Option<()> {
-        let here = self.leave.is_none();
+        let needed = (self.site.peers - 1.0) * (1.0 - REFERENCE) < 1.0;
+        let here = self.leave.is_none_or(|(last, _)| needed && self.now < last);
         let healthy = here && self.sick() <= 0.0;
         let value = match self.site.advert {
             Advert::Nothing => None,
@@ -576,8 +577,7 @@
             Advert::Floor => Some(f64::from(!here)),
             Advert::Allowance => Some(self.limit * f64::from(here)),
         };
-        if healthy != self.healthy {
-            self.healthy = healthy;
+        if std::mem::replace(&mut self.healthy, healthy) != healthy {
             host.health(healthy, !healthy);
             host.log(if healthy { "healthy" } else { "unhealthy" });
             return Some(());
--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -155,6 +155,7 @@
     fn tune(&mut self, name: &str, value: &str) {
         let site = &mut self.site;
         match name {
+            "peers" => site.peers = number(value),
             "cores" => site.cores = number(value),
             "memory_kb" => site.memory_kb = number(value),
             "crowd" => site.survivable_crowd = number(value),
@@ -340,6 +341,7 @@
 #[test_case("idle_connections")]
 #[test_case("idle_connections_many")]
 #[test_case("large_by_hint")]
+#[test_case("leaving_one_of_many")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
--- a/crates/server/src/lifecycle/drain.rs
+++ b/crates/server/src/lifecycle/drain.rs
@@ -2,15 +2,26 @@
 
 use super::tasks::Server;
 use async_io::Timer;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// How often it is looked whether all is done, once the server leaves.
 const LOOK: Duration = Duration::from_millis(10);
 
-/// No connection is left that could bring a call. They end by themselves: each hears `enough`, at the
-/// notice or with its next answer, and its peer closes it when all on it is answered.
+/// What arrives within the grace after the notice is still run: callers hear late that a server leaves, and
+/// those that stay would miss it. From then on no call is wanted. Never later than half way to the stop.
+pub async fn end_grace(server: Rc<Server>) {
+    let half = Duration::from_millis(server.configuration.stop_ms) / 2;
+    let grace = Duration::from_nanos(server.configuration.settings.deployment.drain_grace);
+    Timer::after(grace.min(half)).await;
+    server.grace_over.set(true);
+    server.connections.all_enough();
+}
+
+/// No connection is left that could bring a call. They end by themselves: each hears `enough`, at the end of
+/// the grace or with its next answer, and its peer closes it when all on it is answered.
 pub fn is_over(server: &Server) -> bool {
-    server.leaves() && server.connections.count() == 0 && server.inputs.is_empty()
+    server.grace_over.get() && server.connections.count() == 0 && server.inputs.is_empty()
 }
 
 /// Returns when it is worth asking whether the drain is over.
--- a/crates/server/src/lifecycle/signals.rs
+++ b/crates/server/src/lifecycle/signals.rs
@@ -1,5 +1,6 @@
 //! Signals: the notice to leave, new addresses, and the wish to see the counters.
 
+use super::drain;
 use super::tasks::{Input, Server};
 use anyhow::Result;
 use async_channel::Sender;
@@ -20,8 +21,8 @@
             Ok(Signal::Hup) => reload(&server),
             Ok(_) if stay.close() => {
                 info!("told to leave");
-                server.connections.all_enough();
                 let _ = server.inputs.send(Input::Leave).await;
+                server.executor.spawn(drain::end_grace(server.clone())).detach();
             }
             _ => {}
         }
--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -42,6 +42,7 @@
         pool: Pool::default(),
         descriptors,
         buffered: Cell::new(0),
+        grace_over: Cell::new(false),
         moved: async_channel::bounded(1),
         counters: Counters::default(),
         left,
--- a/crates/server/src/lifecycle/tasks/connection.rs
+++ b/crates/server/src/lifecycle/tasks/connection.rs
@@ -298,7 +298,7 @@
             Told::Answer(tag, answer) => {
                 self.tags.retain(|open| *open != tag);
                 self.connection.open.set(self.tags.len());
-                if self.server.leaves() {
+                if self.server.grace_over.get() {
                     self.connection.enough();
                 }
                 self.put(tag, &answer)
--- a/crates/server/src/lifecycle/tasks/mod.rs
+++ b/crates/server/src/lifecycle/tasks/mod.rs
@@ -36,6 +36,8 @@
     pub buffered: Cell<usize>,
     /// Says that the interpreter has another address.
     pub moved: (Sender<()>, Receiver<()>),
+    /// The server leaves, and wants no more calls.
+    pub grace_over: Cell<bool>,
     /// Closed once the server is to leave.
     pub left: Receiver<()>,
 }
