--- a/crates/server/src/lifecycle/configuration.rs
+++ b/crates/server/src/lifecycle/configuration.rs
@@ -42,6 +42,10 @@
     /// Reads the file once more and takes its addresses over; where it cannot be served all stays as it is.
     pub fn reload(&self) -> Result<()> {
         let new = Self::load(&self.path)?;
+        ensure!(
+            (&new.name, new.listen) == (&self.name, self.listen),
+            "name, listen: another takes a restart"
+        );
         let before = self.addresses.get().records.is_some();
         ensure!(
             before == new.addresses.get().records.is_some(),
--- a/crates/server/src/lifecycle/signals.rs
+++ b/crates/server/src/lifecycle/signals.rs
@@ -33,6 +33,7 @@
 /// be served changes nothing.
 fn reload(server: &Server) {
     if let Err(error) = server.configuration.reload() {
+        server.counters.reloads_refused.add();
         return warn!("configuration kept as it was: {error:#}");
     }
     server.counters.reloads.add();
--- a/crates/server/src/memory/counters.rs
+++ b/crates/server/src/memory/counters.rs
@@ -37,5 +37,5 @@
     runs_sent stops_sent runs_ended awaits replies_sent commands_sent_again commands_not_done
     links notices bad_notices gauges_asked gauges_late
     calls calls_succeeded calls_errored calls_never_ran calls_unknown calls_dropped
-    catalog_reports reloads
+    catalog_reports reloads reloads_refused
 }
