Server tidied: one reader of digits, one end of a run, one flag for giving way

No behaviour changes, found on reading the whole change once more: digits were read three ways (rpc.rs, resp.rs, http.rs), now by wire::decimal; a run that never ran had a copy of the way every run ends (decisions.rs), now one; giving way was kept on the connection and in its task, now on the connection alone, which is told before anything else is looked at; headers of a reply are split once; bytes held are the rings' own length; 'full' is passed on instead of handed to and fro (accept.rs).

--- a/crates/server/src/lifecycle/configuration.rs
+++ b/crates/server/src/lifecycle/configuration.rs
@@ -9,7 +9,7 @@
 use std::path::{Path, PathBuf};
 
 /// Where the other parties are.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug)]
 pub struct Addresses {
     pub interpreter: SocketAddr,
     pub catalog: SocketAddr,
--- a/crates/server/src/lifecycle/tasks/accept.rs
+++ b/crates/server/src/lifecycle/tasks/accept.rs
@@ -18,7 +18,7 @@
     let mut full = false;
     while !drain::is_over(&server) {
         let Some(place) = server.descriptors.for_connection() else {
-            full = make_room(&server, full).await;
+            make_room(&server, &mut full).await;
             continue;
         };
         let other = async {
@@ -34,7 +34,7 @@
             Some(Err(error)) => {
                 server.counters.accepts_failed.add();
                 warn!(%error, "cannot accept");
-                full = make_room(&server, full).await;
+                make_room(&server, &mut full).await;
             }
         }
     }
@@ -47,15 +47,13 @@
 
 /// Out of descriptors: a connection that is idle ends; where there is none those for calls are closed, and
 /// what the kernel accepted waits.
-async fn make_room(server: &Server, full: bool) -> bool {
+async fn make_room(server: &Server, full: &mut bool) {
     if server.connections.one_gives_way(server.clock.now()) {
-        future::yield_now().await;
-        return full;
+        return future::yield_now().await;
     }
-    if !full {
+    if !std::mem::replace(full, true) {
         warn!(open = server.connections.count(), "no room for another connection");
     }
     server.pool.close_all();
     Timer::after(PAUSE).await;
-    true
 }
--- a/crates/server/src/lifecycle/tasks/connection.rs
+++ b/crates/server/src/lifecycle/tasks/connection.rs
@@ -44,8 +44,6 @@
     deaf: bool,
     /// Since when something is to come that is not whole yet.
     waits_since: Option<Nanos>,
-    /// Ends as soon as nothing is open.
-    gives_way: bool,
     /// Part of `Server::buffered`.
     buffered: usize,
 }
@@ -82,7 +80,6 @@
         tags: Vec::new(),
         deaf: false,
         waits_since: Some(server.clock.now()),
-        gives_way: false,
         buffered: 0,
     };
     if let Err(error) = talk.go_on().await {
@@ -103,7 +100,7 @@
             self.take_commands().await?;
             self.write()?;
             let all_said = self.tags.is_empty() && self.outgoing.is_empty();
-            if (self.deaf || self.gives_way) && all_said {
+            if (self.deaf || self.connection.gives_way.get()) && all_said {
                 return Ok(());
             }
             self.count_buffers();
@@ -156,8 +153,7 @@
 
     /// What the rings hold, and for each open call its body and the answer it will get.
     fn count_buffers(&mut self) {
-        let rings = resp::ARRAY_MAX - self.incoming.room() + OUT_MAX - self.outgoing.room();
-        let now = rings + self.tags.len() * 2 * ANSWER_MAX;
+        let now = self.incoming.len() + self.outgoing.len() + self.tags.len() * 2 * ANSWER_MAX;
         self.server.buffered.set(self.server.buffered.get() + now - self.buffered);
         self.buffered = now;
     }
@@ -234,7 +230,6 @@
             self.incoming.drop_front(used);
             self.waits_since = None;
             self.connection.stays();
-            self.gives_way = false;
             match command {
                 Taken::Input(tag, input) => {
                     self.tags.push(tag);
@@ -274,8 +269,7 @@
                     return bad(call.tag, "unknown operation");
                 };
                 // An honest caller has given up on one that old, and none is from the time to come.
-                let (age, most) = (self.server.clock.age(call.since), self.longest_wait());
-                if age > most as i64 || age < -(most as i64) {
+                if self.server.clock.age(call.since).unsigned_abs() > self.longest_wait() {
                     return bad(call.tag, "since is out of range");
                 }
                 counters.invocations.add();
@@ -303,11 +297,8 @@
                 }
                 self.put(tag, &answer)
             }
-            Told::GiveWay => {
-                // What has come by now is still taken.
-                self.gives_way = true;
-                self.read()
-            }
+            // What has come by now is still taken.
+            Told::GiveWay => self.read(),
             Told::Enough => {
                 self.server.counters.enough_sent.add();
                 let mut bytes = Vec::new();
--- a/crates/server/src/lifecycle/tasks/decisions.rs
+++ b/crates/server/src/lifecycle/tasks/decisions.rs
@@ -199,13 +199,7 @@
         match notice {
             Notice::Ended { task, ending, result } => {
                 let Some(inv) = self.hands.invocations.find(task) else { return };
-                // Over for the interpreter: run again it would be void again.
-                if ending == Ending::NeverRan {
-                    return self.never_was(inv);
-                }
-                self.hands.run_ended(inv, ending, result);
-                self.with_brain(|brain, now, hands| brain.finished(now, inv, ending, hands));
-                self.hands.invocations.release(inv);
+                self.ended(inv, ending, result);
             }
             Notice::Awaits { task, body } => {
                 let Some(inv) = self.hands.invocations.find(task) else { return };
@@ -230,20 +224,22 @@
                 if command == "APPLY"
                     && let Some(inv) = task.and_then(|task| self.hands.invocations.find(task))
                 {
-                    self.never_was(inv);
+                    self.ended(inv, Ending::NeverRan, Vec::new());
                 }
             }
             Notice::Banner { .. } | Notice::Remark => {}
         }
     }
 
-    /// The interpreter does not know it or holds it to be over: an error, since asking again would bring the
-    /// same. For the module nobody waits for it and nothing ran. Guards against calls made up by a peer, from
-    /// which it would learn that runs fail here; harms where an interpreter forgets what it was sent.
-    fn never_was(&mut self, inv: u64) {
-        self.hands.run_ended(inv, Ending::Errored, Vec::new());
-        self.with_brain(|brain, now, hands| brain.caller_gone(now, inv, hands));
-        self.with_brain(|brain, now, hands| brain.finished(now, inv, Ending::NeverRan, hands));
+    /// One that never ran is not known to the interpreter or over for it: an error, since asking again would
+    /// bring the same. For the module nobody waits for it. Guards against calls made up by a peer, from which
+    /// it would learn that runs fail here; harms where an interpreter forgets what it was sent.
+    fn ended(&mut self, inv: u64, ending: Ending, result: Vec<u8>) {
+        self.hands.run_ended(inv, ending, result);
+        if ending == Ending::NeverRan {
+            self.with_brain(|brain, now, hands| brain.caller_gone(now, inv, hands));
+        }
+        self.with_brain(|brain, now, hands| brain.finished(now, inv, ending, hands));
         self.hands.invocations.release(inv);
     }
 }
@@ -345,7 +341,7 @@
         self.drop_call(inv);
         match ending {
             Ending::Succeeded if result.len() <= WORD_MAX => self.answer(inv, Answer::Succeeded(result)),
-            Ending::Succeeded | Ending::Errored => self.answer(inv, Answer::Errored),
+            Ending::Succeeded | Ending::Errored | Ending::NeverRan => self.answer(inv, Answer::Errored),
             _ => {}
         }
         if let Some(invocation) = self.invocations.get(inv) {
--- a/crates/server/src/memory/connections.rs
+++ b/crates/server/src/memory/connections.rs
@@ -34,7 +34,8 @@
     /// Something whole has come on it.
     spoke: Cell<bool>,
     pub leaving: Cell<bool>,
-    gives_way: Cell<bool>,
+    /// It was told to, and nothing has come on it since.
+    pub gives_way: Cell<bool>,
 }
 
 impl Connection {
--- a/crates/server/src/wire/http.rs
+++ b/crates/server/src/wire/http.rs
@@ -1,6 +1,6 @@
 //! Calls to the records service: HTTP/1.1, one at a time on a connection.
 
-use super::Parsed;
+use super::{Parsed, decimal};
 use meadowstream::{Ending, Nanos};
 
 /// Longest head and longest body of a reply.
@@ -56,17 +56,18 @@
     let mut lines = head.split("\r\n");
     let status = lines.next().and_then(|line| line.strip_prefix("HTTP/1.1 "));
     let status = status.map(|rest| rest.split_once(' ').map_or(rest, |(digits, _)| digits));
-    let Some(status) = status.filter(|digits| digits.len() == 3).and_then(whole_number) else {
+    let Some(status) =
+        status.filter(|digits| digits.len() == 3).and_then(|digits| decimal::<u16>(digits.as_bytes()))
+    else {
         return Parsed::Malformed("no status line of HTTP/1.1");
     };
-    let named =
-        |line: &str| line.split_once(':').is_some_and(|(key, _)| !key.is_empty() && !key.contains(' '));
-    if !lines.clone().all(named) {
+    let split = lines.map(|line| line.split_once(':'));
+    let named = split.map(|pair| pair.filter(|(key, _)| !key.is_empty() && !key.contains(' ')));
+    let Some(headers) = named.collect::<Option<Vec<_>>>() else {
         return Parsed::Malformed("a header that is none");
-    }
-    let headers = || lines.clone().filter_map(|line| line.split_once(':'));
+    };
     let all = |name: &'static str| {
-        headers().filter(move |(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
+        headers.iter().filter(move |(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
     };
     let header = |name| all(name).next();
     let start = head_end + 4;
@@ -80,7 +81,8 @@
     // One that bears no result may leave its length out, one with a result may not.
     let stated = header("Content-Length").or((status != 200).then_some("0"));
     let agreed = stated.filter(|stated| all("Content-Length").all(|other| other == *stated));
-    let Some(len) = agreed.and_then(whole_number).filter(|len| *len <= BODY_MAX) else {
+    let Some(len) = agreed.and_then(|text| decimal::<usize>(text.as_bytes())).filter(|len| *len <= BODY_MAX)
+    else {
         return Parsed::Malformed("a body of no good length");
     };
     let Some(body) = bytes.get(start..start + len) else { return Parsed::More };
@@ -94,8 +96,3 @@
     };
     Parsed::Whole(Some(Reply { ending, body: body.to_vec(), stays }), start + len)
 }
-
-/// Digits alone: no sign.
-fn whole_number(text: &str) -> Option<usize> {
-    text.parse().ok().filter(|_| text.bytes().all(|byte| byte.is_ascii_digit()))
-}
--- a/crates/server/src/wire/mod.rs
+++ b/crates/server/src/wire/mod.rs
@@ -10,6 +10,8 @@
 #[cfg(test)]
 mod tests;
 
+use std::str::FromStr;
+
 /// What a parser makes of the bytes that have come so far.
 #[derive(Debug, PartialEq)]
 pub enum Parsed<T> {
@@ -20,3 +22,9 @@
     /// No continuation can make a message of this.
     Malformed(&'static str),
 }
+
+/// Digits alone: no sign, nothing before or behind them.
+fn decimal<T: FromStr>(word: &[u8]) -> Option<T> {
+    let digits = word.iter().all(u8::is_ascii_digit);
+    std::str::from_utf8(word).ok().filter(|_| digits).and_then(|text| text.parse().ok())
+}
--- a/crates/server/src/wire/resp.rs
+++ b/crates/server/src/wire/resp.rs
@@ -1,6 +1,6 @@
 //! RESP arrays of bulk strings.
 
-use super::Parsed;
+use super::{Parsed, decimal};
 
 /// Longest bulk string and most of them in an array.
 pub const WORD_MAX: usize = 4096;
@@ -22,9 +22,8 @@
         return if line.len() < NUMBER_MAX { Parsed::More } else { Parsed::Malformed("an endless number") };
     };
     let digits = line[1..end].strip_suffix(b"\r").unwrap_or(b"");
-    let valid = !digits.is_empty() && digits.iter().all(u8::is_ascii_digit);
-    let value = std::str::from_utf8(digits).ok().filter(|_| valid).and_then(|text| text.parse().ok());
-    value.map_or(Parsed::Malformed("no number where one is due"), |value| Parsed::Whole(value, at + end + 1))
+    decimal(digits)
+        .map_or(Parsed::Malformed("no number where one is due"), |value| Parsed::Whole(value, at + end + 1))
 }
 
 /// The words of the first array.
--- a/crates/server/src/wire/ring.rs
+++ b/crates/server/src/wire/ring.rs
@@ -20,8 +20,12 @@
         self.bytes.is_empty()
     }
 
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
     pub fn room(&self) -> usize {
-        self.most - self.bytes.len()
+        self.most - self.len()
     }
 
     /// Takes all of it or, where that would pass the bound, nothing.
--- a/crates/server/src/wire/rpc.rs
+++ b/crates/server/src/wire/rpc.rs
@@ -1,6 +1,6 @@
 //! The calls that balancers make and the answers to them, as words of RESP arrays.
 
-use super::resp;
+use super::{decimal, resp};
 use meadowstream::Nanos;
 
 /// Longest body of a call.
@@ -33,7 +33,7 @@
 }
 
 pub fn command<'a>(words: &[&'a [u8]]) -> Command<'a> {
-    let tag = words.get(1).and_then(|word| decimal(word)).filter(|tag| *tag > 0);
+    let tag = words.get(1).and_then(|word| decimal::<u64>(word)).filter(|tag| *tag > 0);
     let bad = |why| Command::Bad { tag, why };
     match (words[0], tag) {
         (_, None) => bad("no tag"),
@@ -43,11 +43,6 @@
     }
 }
 
-fn decimal(word: &[u8]) -> Option<u64> {
-    let digits = word.iter().all(u8::is_ascii_digit);
-    std::str::from_utf8(word).ok().filter(|_| digits).and_then(|text| text.parse().ok())
-}
-
 fn call<'a>(tag: u64, words: &[&'a [u8]]) -> Result<Call<'a>, &'static str> {
     let [operation, fields, body] = words else { return Err("a call has five words") };
     let operation = std::str::from_utf8(operation).map_err(|_| "operation is no text")?;
@@ -65,7 +60,7 @@
     if !rank.is_ok_and(|rank| (0.0..1.0).contains(&rank)) {
         return Err("bad rank");
     }
-    if field("sender").is_some_and(|text| decimal(text.as_bytes()).is_none()) {
+    if field("sender").is_some_and(|text| decimal::<u64>(text.as_bytes()).is_none()) {
         return Err("bad sender");
     }
     Ok(Call {
