The hold is an index: next, due, least worthy and late entries without walking all

The hold was part of a vector that every rule walked and sorted; an arrival at 10,000 held took 3.2 ms and the cost grew with the square of what was held.

crates/hold keeps each rank in blocks with a tree of sums over them; lateness is kept for an older pace and bounded by what the pace has gained.

--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -8,11 +8,13 @@
 //! lq.rs, the decaying sums in decay.rs. `docs/design.md` says what follows the paper and what departs.
 
 use crate::decay::Decaying;
+use crate::invs::{Inv, Invs, State};
 use crate::lq::{self, Fit, Plant};
 use crate::{Advert, Arrival, Below, Deployment, Effect, Ending, Gauges, Halting, Host, Nanos, Operation};
+use meadowstream_hold::table::Table;
+use meadowstream_hold::{Able, Usual};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::cmp::Reverse;
 
 /// The control period: the span that the gauge looks back over.
 const PERIOD: Nanos = 500_000_000;
@@ -68,41 +70,6 @@
 pub const TICK: u32 = 0;
 const ALARM: u32 = 1;
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum State {
-    #[default]
-    Held,
-    OnCores,
-    AtCall,
-    Calling,
-    Reusing,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Inv {
-    id: u64,
-    operation: usize,
-    rank: usize,
-    arrived: Nanos,
-    /// When the final answer is owed, and until when an answer is worth its full value.
-    due: Nanos,
-    wanted: Nanos,
-    held_kb: f64,
-    /// Its hinted cost as a ratio to the mean hint of its operation.
-    size: f64,
-    repeats: Option<u64>,
-    state: State,
-    since: Nanos,
-    begun: Nanos,
-    on_cores: Nanos,
-    retry_call_at: Nanos,
-    calls: u32,
-    ran: bool,
-    answered: bool,
-    stopped: bool,
-    judged: bool,
-}
-
 /// What is learned of an operation: time on the cores, and from start to end, calls included.
 struct Learned {
     work: Decaying,
@@ -111,6 +78,12 @@
     hint: Decaying,
 }
 
+impl Learned {
+    fn usual(&self) -> Usual {
+        Usual { work: self.work.mean(), whole: self.whole.mean() }
+    }
+}
+
 struct Regulator {
     sum: f64,
     /// Refusal ratios of premium and basic.
@@ -125,12 +98,13 @@
     site: Deployment,
     now: Nanos,
     born: Nanos,
-    invs: Vec<Inv>,
+    invs: Invs,
     values: Vec<f64>,
     learned: Vec<Learned>,
     tenants: Vec<(f64, Nanos)>,
-    tokens: Vec<(u64, Nanos)>,
-    limit: f64,
+    tokens: Table,
+    /// The learned running limit, and usual times as the hold asks for them.
+    able: Able,
     unread_for: Decaying,
     reading: Decaying,
     retried: Decaying,
@@ -182,16 +156,22 @@
             let time = Decaying::starting_at(memory, now, guess, 1.0);
             Learned { work: time.clone(), whole: time, base: f64::INFINITY, hint: Decaying::new(memory, now) }
         };
+        let learned: Vec<Learned> = site.operations.iter().map(learned).collect();
         let fit = Fit::new(&Plant { a: 0.0, b: [-REFERENCE; 2] }, FIT_DOUBT, FIT_FORGETTING);
         host.wake(ChaCha8Rng::seed_from_u64(seed).random_range(0..PERIOD), TICK);
         Self {
             now,
             born: now,
-            invs: Vec::new(),
-            learned: site.operations.iter().map(learned).collect(),
+            invs: Invs::new(
+                values.len(),
+                site.operations.len(),
+                site.run_memory,
+                site.halting == Halting::Pauses,
+            ),
+            able: Able { usual: learned.iter().map(Learned::usual).collect(), limit: site.cores, free: 0 },
+            learned,
             tenants: site.tenant_allowance.iter().map(|each| (each / site.peers, now)).collect(),
-            tokens: Vec::new(),
-            limit: site.cores,
+            tokens: Table::default(),
             unread_for: Decaying::new(PERIOD / 2, now),
             reading: Decaying::new(PERIOD * 2, now),
             retried: Decaying::new(PERIOD * 4, now),
@@ -228,29 +208,20 @@
         // Kept while held already: a repeat that is read meanwhile must be known as one.
         if op.effect == Effect::Tokened && arrival.repeats.is_none() {
             host.remember(arrival.id, op.token_window);
-            self.tokens.push((arrival.id, now + op.token_window));
+            self.tokens.keep(arrival.id, now + op.token_window);
         }
-        self.invs.push(Inv {
-            id: arrival.id,
-            operation: arrival.operation,
-            rank: self.values.iter().position(|v| *v >= value).unwrap_or(self.values.len() - 1),
-            arrived: reached,
-            due: waits.max(now),
-            wanted: wanted.min(waits),
-            held_kb: arrival.held_kb,
-            size,
-            repeats: arrival.repeats,
-            judged: arrival.repeats.is_some(),
-            since: now,
-            ..Inv::default()
-        });
+        let late = self.leave.is_some_and(|(last, _)| reached > last);
+        let mut inv = Inv::new(now, &arrival);
+        inv.rank = self.values.iter().position(|v| *v >= value).unwrap_or(self.values.len() - 1);
+        (inv.due, inv.wanted, inv.size) = (waits.max(now), wanted.min(waits), size);
+        self.invs.push(inv, late);
         self.decide(host);
     }
 
     pub fn finished(&mut self, now: Nanos, id: u64, ending: Ending, host: &mut dyn Host) {
         self.now = now;
-        if let Some(i) = self.find(id) {
-            let ran = self.invs[i].state != State::Reusing;
+        if let Some(i) = self.invs.find(id) {
+            let ran = self.invs[i].state() != State::Reusing;
             self.enter(i, State::Held);
             self.invs[i].stopped = false;
             let inv = self.invs[i].clone();
@@ -263,6 +234,7 @@
                 learned.work.add(now, inv.on_cores as f64);
                 learned.whole.add(now, (now - inv.begun) as f64);
                 learned.base = (learned.base * BASE_DRIFT).min(learned.work.mean());
+                self.able.usual[inv.operation] = learned.usual();
             }
             if ended || inv.answered {
                 self.invs.remove(i);
@@ -276,7 +248,7 @@
 
     pub fn needs_call(&mut self, now: Nanos, id: u64, host: &mut dyn Host) {
         self.now = now;
-        if let Some(i) = self.find(id) {
+        if let Some(i) = self.invs.find(id) {
             self.enter(i, State::AtCall);
         }
         self.decide(host);
@@ -289,7 +261,7 @@
             let rest = (took + linger) as f64 * (1.0 / (share * CROWD_SHARE) - 1.0).max(0.0);
             self.rest_below_until = now + rest as Nanos;
         }
-        if let Some(i) = self.find(id) {
+        if let Some(i) = self.invs.find(id) {
             if ending == Ending::Succeeded {
                 self.call_time.add(now, took as f64);
                 self.calls_limit +=
@@ -318,7 +290,7 @@
 
     pub fn caller_gone(&mut self, now: Nanos, id: u64, host: &mut dyn Host) {
         self.now = now;
-        if let Some(i) = self.find(id) {
+        if let Some(i) = self.invs.find(id) {
             self.close(i);
         }
         self.decide(host);
@@ -342,7 +314,7 @@
     }
 
     fn decide(&mut self, host: &mut dyn Host) {
-        self.tokens.retain(|(_, end)| *end > self.now);
+        self.tokens.age(self.now);
         while RULES.iter().any(|rule| rule(self, host).is_some()) {}
     }
 
@@ -391,10 +363,9 @@
     /// The error that the gauge hid, since it ends at 1: work that stands unread or in the hold, in
     /// periods of all cores. It belongs to the running sum, and leaves it as soon as the work is gone.
     fn backlog(&self) -> f64 {
-        let held = self.invs.iter().filter(|inv| inv.state == State::Held);
-        let work: f64 = held.map(|inv| self.learned[inv.operation].work.mean() * inv.size).sum();
+        let work = self.invs.hold.work(&self.able.usual);
         let calls = (self.count(&[State::AtCall, State::Calling]) / self.calls_limit - 1.0).max(0.0);
-        (work / self.limit + self.arrears() + calls * self.call_time.mean()) / PERIOD as f64
+        (work / self.able.limit + self.arrears() + calls * self.call_time.mean()) / PERIOD as f64
     }
 
     /// Share of the period in which arrivals of a rank are refused: the lowest is basic, the next premium.
@@ -409,7 +380,8 @@
     /// Share of arrivals to keep away. Guards against a server that looks idle because it is ill: runs fail
     /// by themselves, or nothing moves (bad release, lost disk, hang). Harms where long runs look like one.
     fn sick(&self) -> f64 {
-        let oldest = self.invs.iter().filter(|inv| inv.state == State::OnCores).map(|inv| inv.since).min();
+        let on_cores = self.invs.active().filter(|(_, inv)| inv.state() == State::OnCores);
+        let oldest = on_cores.map(|(_, inv)| inv.since).min();
         let still = oldest.map_or(0, |since| self.now - since.max(self.last_progress));
         let failing = if self.failing.weight(self.now) > SEEN_FAILING { self.failing.mean() } else { 0.0 };
         if still as f64 > self.longest_usual_run() * STALLED {
@@ -423,35 +395,36 @@
 
     /// The learned running limit: from the core count up to what the server survives.
     fn learn_limit(&mut self, busy: f64) {
-        let waiting = self.invs.iter().any(|inv| inv.state == State::Held);
+        let waiting = !self.invs.hold.is_empty();
         let slowed = self.learned.iter().any(|l| l.work.mean() > l.base * SLOWED);
         if waiting && busy < REFERENCE {
-            self.limit *= LIMIT_UP;
+            self.able.limit *= LIMIT_UP;
         } else if slowed || busy > REFERENCE {
-            self.limit *= LIMIT_DOWN;
+            self.able.limit *= LIMIT_DOWN;
         }
-        self.limit = self.limit.clamp(self.site.cores, self.crowd().max(self.site.cores));
+        self.able.limit = self.able.limit.clamp(self.site.cores, self.crowd().max(self.site.cores));
     }
 
     // ---- Rules ----
 
     /// Rule 1: all read is answered by its due time, and as soon as an answer in time is out of reach.
     fn answer_what_is_due(&mut self, host: &mut dyn Host) -> Option<()> {
-        let i = self.first(|inv| !inv.answered && self.now >= self.last_call_for(inv))?;
+        let active = |inv: &Inv| !inv.answered && self.now >= self.last_call_for(inv);
+        let active = self.invs.first_active(active);
+        let i = self.invs.first_due(self.now, self.last_chance(), active)?;
         self.answer(i, PERIOD, host)
     }
 
     /// Work that nobody can use any more leaves the cores, where that can be done.
     fn stop_what_nobody_wants(&mut self, host: &mut dyn Host) -> Option<()> {
-        let useless = |inv: &Inv| inv.answered && !inv.stopped && inv.state == State::OnCores;
-        let i = self.first(useless).filter(|_| self.site.halting != Halting::Impossible)?;
+        let useless = |inv: &Inv| inv.answered && !inv.stopped && inv.state() == State::OnCores;
+        let i = self.invs.first_active(useless).filter(|_| self.site.halting != Halting::Impossible)?;
         self.stop(i, host)
     }
 
     /// The design's actuator: arrivals in the first rtr of the period are refused, by rank.
     fn refuse_in_the_window(&mut self, host: &mut dyn Host) -> Option<()> {
-        let i = self.first(|inv| !inv.judged)?;
-        self.invs[i].judged = true;
+        let i = self.invs.judge_next()?;
         let window = (self.refusal_ratio(self.invs[i].rank) * PERIOD as f64) as Nanos;
         let passed = self.now - self.period_start;
         if passed < window {
@@ -467,37 +440,24 @@
         if self.memory_needed() <= self.site.memory_kb * MEMORY_SHARE {
             return None;
         }
-        let held = (0..self.invs.len()).filter(|i| self.invs[*i].state == State::Held);
-        let i = held.min_by_key(|i| (self.invs[*i].rank, Reverse(*i)))?;
+        let i = self.invs.hold.least_worthy()?;
         self.answer(i, PERIOD, host)
     }
 
     /// Rule 2: a repeat of what was kept is answered from its forerunner, not run.
     fn reuse_for_repeats(&mut self, host: &mut dyn Host) -> Option<()> {
-        let i = self.first(|inv| inv.state == State::Held && inv.repeats.is_some())?;
+        let i = self.invs.first_repeat()?;
         self.enter(i, State::Reusing);
         host.reuse(self.invs[i].id);
         Some(())
     }
 
-    /// Walks the hold in the order it will run; where one would miss its objective, the least worthy
+    /// Goes along the hold in the order it will run; where one would miss its objective, the least worthy
     /// (of equals the newest) of those up to it is refused, so that the rest can be in time.
     fn refuse_what_cannot_be_done_in_time(&mut self, host: &mut dyn Host) -> Option<()> {
-        let order = self.hold_in_order();
-        let free = (self.limit - self.running()).floor().max(0.0) as usize;
-        let mut ahead = 0.0;
-        for (n, i) in order.iter().enumerate() {
-            let inv = &self.invs[*i];
-            let learned = &self.learned[inv.operation];
-            let end = self.now as f64 + ahead / self.limit + learned.whole.mean() * inv.size;
-            ahead += learned.work.mean() * inv.size;
-            if end > inv.wanted as f64 && n >= free {
-                let worth = |i: &&usize| (self.invs[**i].rank, Reverse(self.invs[**i].arrived), Reverse(**i));
-                let victim = *order[..=n].iter().min_by_key(worth)?;
-                return self.answer(victim, PERIOD, host);
-            }
-        }
-        None
+        self.able.free = (self.able.limit - self.running()).floor().max(0.0) as usize;
+        let i = self.invs.hold.to_make_room(self.now, &self.able)?;
+        self.answer(i, PERIOD, host)
     }
 
     /// Work already spent is worth finishing: calls are made while the answer is wanted.
@@ -509,8 +469,9 @@
         if self.count(&[State::Calling]) + 1.0 > room || self.now < self.rest_below_until {
             return None;
         }
-        let ready = |inv: &Inv| inv.state == State::AtCall && !inv.answered && self.now >= inv.retry_call_at;
-        let i = self.first(ready)?;
+        let ready =
+            |inv: &Inv| inv.state() == State::AtCall && !inv.answered && self.now >= inv.retry_call_at;
+        let i = self.invs.first_active(ready)?;
         // One that failed is left out where the answer keeps some value without it.
         if self.invs[i].calls > 0 && self.site.operations[self.invs[i].operation].without_call_value > 0.0 {
             self.enter(i, State::OnCores);
@@ -529,15 +490,15 @@
     }
 
     fn run_next(&mut self, host: &mut dyn Host) -> Option<()> {
-        let i = self.hold_in_order().into_iter().next()?;
+        let i = self.invs.hold.next()?.key;
         let inv = &self.invs[i];
-        let more = inv.held_kb * self.site.run_memory - self.memory_of(inv);
+        let more = inv.held_kb * self.site.run_memory - self.invs.memory_of(inv);
         if self.calls_full() || self.memory_needed() + more > self.site.memory_kb * MEMORY_SHARE {
             return None;
         }
         let open = self.count(&[State::OnCores, State::AtCall, State::Calling]);
         let share = if self.site.called_by_own { 0.0 } else { READING_SHARE };
-        let limit = self.limit - self.reading.mean().min(self.site.cores * share);
+        let limit = self.able.limit - self.reading.mean().min(self.site.cores * share);
         if self.running() + 1.0 > limit.min(self.crowd()).max(1.0) || open + 1.0 > self.crowd().max(1.0) {
             return self.pause_for(self.invs[i].rank, host);
         }
@@ -553,10 +514,10 @@
     /// A worthier one finds the cores full: the least worthy run is paused, one at a time, where that loses
     /// no work. Guards against floods of one tenant or of cheap operations; harms where pausing is dear.
     fn pause_for(&mut self, rank: usize, host: &mut dyn Host) -> Option<()> {
-        let lesser = |inv: &&Inv| inv.state == State::OnCores && inv.rank < rank && self.is_idempotent(inv);
-        let pausing = self.first(|inv| inv.state == State::OnCores && inv.stopped);
-        let id = self.invs.iter().filter(lesser).min_by_key(|inv| inv.rank)?.id;
-        let i = self.find(id).filter(|_| pausing.is_none() && self.site.halting == Halting::Pauses)?;
+        let lesser = |inv: &Inv| inv.state() == State::OnCores && inv.rank < rank && self.is_idempotent(inv);
+        let pausing = self.invs.first_active(|inv| inv.state() == State::OnCores && inv.stopped);
+        let least = self.invs.active().filter(|(_, inv)| lesser(inv)).min_by_key(|(_, inv)| inv.rank)?.0;
+        let i = Some(least).filter(|_| pausing.is_none() && self.site.halting == Halting::Pauses)?;
         self.stop(i, host)
     }
 
@@ -575,7 +536,7 @@
             Advert::Nothing => None,
             Advert::Weight => Some((1.0 - self.refusal_ratio(0)) * self.warmth() * f64::from(here)),
             Advert::Floor => Some(f64::from(!here)),
-            Advert::Allowance => Some(self.limit * f64::from(here)),
+            Advert::Allowance => Some(self.able.limit * f64::from(here)),
         };
         if std::mem::replace(&mut self.healthy, healthy) != healthy {
             host.health(healthy, !healthy);
@@ -589,35 +550,28 @@
     }
 
     fn set_alarm(&mut self, host: &mut dyn Host) -> Option<()> {
-        let next = self.invs.iter().filter(|inv| !inv.answered).map(|inv| {
-            let again = inv.state == State::AtCall && inv.retry_call_at > self.now;
+        let active = self.invs.active().filter(|(_, inv)| !inv.answered).map(|(_, inv)| {
+            let again = inv.state() == State::AtCall && inv.retry_call_at > self.now;
             self.last_call_for(inv).min(if again { inv.retry_call_at } else { Nanos::MAX })
         });
-        let next = next.min().filter(|next| *next < self.alarm_at)?;
+        let next = active.chain(self.invs.hold.next_due(self.last_chance())).min();
+        let next = next.filter(|next| *next < self.alarm_at)?;
         self.alarm_at = next;
         host.wake(next.saturating_sub(self.now).max(1), ALARM);
         Some(())
     }
 
-    fn first(&self, which: impl FnMut(&Inv) -> bool) -> Option<usize> {
-        self.invs.iter().position(which)
-    }
-
-    fn find(&self, id: u64) -> Option<usize> {
-        self.first(|inv| inv.id == id)
-    }
-
     fn count(&self, states: &[State]) -> f64 {
-        self.invs.iter().filter(|inv| states.contains(&inv.state)).count() as f64
+        self.invs.count(states)
     }
 
     fn enter(&mut self, i: usize, state: State) {
         let inv = &mut self.invs[i];
-        if inv.state == State::OnCores {
+        if inv.state() == State::OnCores {
             inv.on_cores += self.now - inv.since;
             self.last_progress = self.now;
         }
-        (inv.state, inv.since) = (state, self.now);
+        self.invs.enter(i, state, self.now);
     }
 
     fn running(&self) -> f64 {
@@ -649,39 +603,27 @@
         self.site.cores * (1.0 + (self.site.survivable_crowd - 1.0) * self.warmth()) * CROWD_SHARE
     }
 
-    /// A paused run keeps the memory of a running one.
-    fn memory_of(&self, inv: &Inv) -> f64 {
-        let paused = inv.ran && self.site.halting == Halting::Pauses;
-        let waits = !paused && matches!(inv.state, State::Held | State::Reusing);
-        inv.held_kb * if waits { 1.0 } else { self.site.run_memory }
+    fn memory_needed(&self) -> f64 {
+        self.invs.memory() + self.tokens.len() as f64 * self.site.entry_kb
     }
 
-    fn memory_needed(&self) -> f64 {
-        let invs: f64 = self.invs.iter().map(|inv| self.memory_of(inv)).sum();
-        invs + self.tokens.len() as f64 * self.site.entry_kb
+    /// Until when the answer of one that is not held may wait: its due time, the stop, or its last chance.
+    fn last_call_for(&self, inv: &Inv) -> Nanos {
+        let late = self.site.operations[inv.operation].late_value > 0.0;
+        let chance = if !self.is_idempotent(inv) || late { inv.due } else { inv.wanted };
+        inv.due.min(self.last_answers()).min(chance)
     }
 
-    fn hold_in_order(&self) -> Vec<usize> {
-        let mut order: Vec<usize> =
-            (0..self.invs.len()).filter(|i| self.invs[*i].state == State::Held).collect();
-        order.sort_by_key(|i| (Reverse(self.invs[*i].rank), self.invs[*i].wanted, self.invs[*i].id));
-        order
+    /// The same for those in the hold, by operation and the time wanted, which is never after the due time.
+    /// Rule 3: what arrived later than the grace after the notice is not run; it is marked as it arrives.
+    fn last_chance(&self) -> impl Fn(usize, Nanos) -> Nanos + use<> {
+        let last = self.last_answers();
+        let whole: Vec<Nanos> = self.able.usual.iter().map(|usual| usual.whole as Nanos).collect();
+        move |operation, wanted| wanted.saturating_sub(whole[operation]).min(last)
     }
 
-    /// Until when an answer may wait: its due time, the stop, or (held too long, or late) its last chance.
-    /// Rule 3: what arrives later than the grace after the notice is not run.
-    fn last_call_for(&self, inv: &Inv) -> Nanos {
-        let op = &self.site.operations[inv.operation];
-        let chance = match inv.state {
-            State::Held => inv.wanted.saturating_sub(self.learned[inv.operation].whole.mean() as Nanos),
-            _ if !self.is_idempotent(inv) || op.late_value > 0.0 => inv.due,
-            _ => inv.wanted,
-        };
-        let leaving = self.leave.map_or(Nanos::MAX, |(last, stop)| {
-            let run = inv.state != State::Held || inv.arrived <= last;
-            if run { stop.saturating_sub(2 * self.site.answer_grace) } else { 0 }
-        });
-        inv.due.min(leaving).min(chance)
+    fn last_answers(&self) -> Nanos {
+        self.leave.map_or(Nanos::MAX, |(_, stop)| stop.saturating_sub(2 * self.site.answer_grace))
     }
 
     /// How long invocations lie unread of late; it fades when none come.
@@ -723,7 +665,7 @@
         }
         if effect == Effect::Tokened && !inv.ran && inv.repeats.is_none() {
             host.forget(inv.id);
-            self.tokens.retain(|(id, _)| *id != inv.id);
+            self.tokens.forget(inv.id);
         }
         self.close(i);
         Some(())
@@ -732,7 +674,7 @@
     /// Nothing more is owed; what still runs or calls stays until it ends.
     fn close(&mut self, i: usize) {
         (self.invs[i].answered, self.invs[i].stopped) = (true, false);
-        if matches!(self.invs[i].state, State::Held | State::Reusing) {
+        if matches!(self.invs[i].state(), State::Held | State::Reusing) {
             self.invs.remove(i);
         }
     }
--- a/crates/meadowstream/src/lib.rs
+++ b/crates/meadowstream/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod brain;
 pub mod decay;
+mod invs;
 pub mod lq;
 
 pub type Nanos = u64;
