Fair shares in the module: surplus ranks lower, order by start tag, promised advice

A tenant beyond its share was known by a figure from the settings alone, and its surplus ran in the order of time wanted, so that a flood's backlog stood before a quiet tenant.

Where the deployment has fair settings, an arrival beyond its tenant's share takes the rank of surplus, the hold runs by start tag within a rank, what ran is charged by its time on the cores, and who is turned away hears when its tenant has room, with a ticket. Who comes back then is not judged by the window.

--- a/crates/meadowstream/benches/arrival.rs
+++ b/crates/meadowstream/benches/arrival.rs
@@ -43,6 +43,7 @@
         operations: vec![operation(1.0), operation(2.0)],
         tenant_allowance: Vec::new(),
         over_share_value: 1.0,
+        fair: None,
         peers: 1.0,
         callers: 1.0,
         called_by_own: false,
--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -11,6 +11,7 @@
 use crate::invs::{Inv, Invs, State};
 use crate::lq::{self, Fit, Plant};
 use crate::{Advert, Arrival, Below, Deployment, Effect, Ending, Gauges, Halting, Host, Nanos, Operation};
+use meadowstream_fair::{Fair, Outcome, Who};
 use meadowstream_hold::table::Table;
 use meadowstream_hold::{Able, Usual};
 use rand::{Rng, SeedableRng};
@@ -42,6 +43,9 @@
 const WALK: f64 = 0.3;
 /// Seconds of its share that a tenant may send at once before it counts as over it.
 const SHARE_SECONDS: f64 = 15.0;
+/// Work of one tenant within its share that may be in hand, as a share of what is done in the shortest
+/// objective.
+const SHARE_HELD: f64 = 0.25;
 /// Share of memory and of the survivable crowd that is used.
 const MEMORY_SHARE: f64 = 0.85;
 const CROWD_SHARE: f64 = 0.7;
@@ -102,6 +106,7 @@
     values: Vec<f64>,
     learned: Vec<Learned>,
     tenants: Vec<(f64, Nanos)>,
+    fair: Option<Fair>,
     tokens: Table,
     /// The learned running limit, and usual times as the hold asks for them.
     able: Able,
@@ -141,7 +146,8 @@
 
 impl Brain {
     pub fn new(site: Deployment, seed: u64, now: Nanos, host: &mut dyn Host) -> Self {
-        let over_share = if site.tenant_allowance.is_empty() { 1.0 } else { site.over_share_value };
+        let shared = !site.tenant_allowance.is_empty() || site.fair.is_some();
+        let over_share = if shared { site.over_share_value } else { 1.0 };
         let billed = site.operations.iter().map(|op| op.billed_value);
         let mut values: Vec<f64> = billed.flat_map(|value| [value * over_share, value]).collect();
         values.sort_by(f64::total_cmp);
@@ -171,6 +177,10 @@
             able: Able { usual: learned.iter().map(Learned::usual).collect(), limit: site.cores, free: 0 },
             learned,
             tenants: site.tenant_allowance.iter().map(|each| (each / site.peers, now)).collect(),
+            fair: site.fair.clone().map(|mut settings| {
+                settings.longest = site.stay_away_max;
+                Fair::new(settings, site.cores * REFERENCE, seed, now)
+            }),
             tokens: Table::default(),
             unread_for: Decaying::new(PERIOD / 2, now),
             reading: Decaying::new(PERIOD * 2, now),
@@ -194,17 +204,23 @@
 
     pub fn arrived(&mut self, now: Nanos, arrival: Arrival, host: &mut dyn Host) {
         self.now = now;
-        let over_share = self.takes_more_than_its_share(arrival.tenant);
         self.unread_for.add(now, arrival.age as f64);
         self.retried.add(now, f64::from(arrival.marked_retry));
         let op = &self.site.operations[arrival.operation];
         let reached = now.saturating_sub(arrival.age);
         let waits = arrival.patience.map_or(reached + op.client_timeout, |left| now + left);
         let wanted = reached + (op.latency_objective as f64 * (1.0 - WAY_BACK)) as Nanos;
-        let value = op.billed_value * if over_share { self.site.over_share_value } else { 1.0 };
         let hints = &mut self.learned[arrival.operation].hint;
         arrival.hint.iter().for_each(|hint| hints.add(now, *hint as f64));
         let size = arrival.hint.map_or(1.0, |hint| hint as f64 / hints.mean().max(1.0));
+        let work = self.able.usual[arrival.operation].work * size;
+        let seat = self.fair.as_mut().zip(arrival.sender.as_ref()).map(|(fair, sender)| {
+            let who = Who { name: &sender.tenant, origin: sender.origin };
+            fair.arrived(now, who, work, sender.ticket)
+        });
+        let over_share = seat.map_or(self.takes_more_than_its_share(arrival.tenant), |seat| seat.surplus);
+        let op = &self.site.operations[arrival.operation];
+        let value = op.billed_value * if over_share { self.site.over_share_value } else { 1.0 };
         // Kept while held already: a repeat that is read meanwhile must be known as one.
         if op.effect == Effect::Tokened && arrival.repeats.is_none() {
             host.remember(arrival.id, op.token_window);
@@ -214,6 +230,10 @@
         let mut inv = Inv::new(now, &arrival);
         inv.rank = self.values.iter().position(|v| *v >= value).unwrap_or(self.values.len() - 1);
         (inv.due, inv.wanted, inv.size) = (waits.max(now), wanted.min(waits), size);
+        // Who was told to come back now is let in, unless the server is worse off than it was to be.
+        let welcome = seat.is_some_and(|seat| seat.promised) && !self.is_flooded() && self.sick() <= 0.0;
+        inv.judged |= welcome;
+        (inv.seat, inv.tag) = (seat, seat.map_or(0, |seat| seat.tag));
         self.invs.push(inv, late);
         self.decide(host);
     }
@@ -237,7 +257,7 @@
                 self.able.usual[inv.operation] = learned.usual();
             }
             if ended || inv.answered {
-                self.invs.remove(i);
+                self.remove(i);
             } else if inv.ran && !self.is_idempotent(&inv) {
                 // Stopped unasked, its work lost: held again, but only where running twice does no harm.
                 self.answer(i, 0, host);
@@ -305,6 +325,11 @@
             let busy = gauges.busy.unwrap_or(running / self.site.cores).min(1.0);
             self.learn_limit(busy);
             self.regulate(busy, host);
+            if let Some(fair) = &mut self.fair {
+                let shortest = self.site.operations.iter().map(|op| op.latency_objective).min();
+                let capacity = self.able.limit.floor() * REFERENCE;
+                fair.set_level(now, capacity, capacity * shortest.unwrap_or(PERIOD) as f64 * SHARE_HELD);
+            }
             self.set_idle_limit(host);
             self.period_start = now;
         } else if now >= self.alarm_at {
@@ -430,7 +455,7 @@
         if passed < window {
             let alone = self.is_flooded() || self.sick() > 0.0;
             let advice = if alone { self.site.stay_away_max } else { window - passed };
-            self.answer(i, advice, host);
+            self.turn_away(i, advice, 0, host);
         }
         Some(())
     }
@@ -507,6 +532,9 @@
         inv.begun = if inv.ran { inv.begun + (self.now - inv.since) } else { self.now };
         inv.ran = true;
         host.run(inv.id);
+        if let (Some(fair), Some(seat)) = (&mut self.fair, &inv.seat) {
+            fair.began(seat);
+        }
         self.enter(i, State::OnCores);
         Some(())
     }
@@ -654,8 +682,14 @@
 
     /// The one final answer: throttled where nothing was done or nothing can happen twice, else errored.
     fn answer(&mut self, i: usize, stay_away: Nanos, host: &mut dyn Host) -> Option<()> {
+        self.turn_away(i, stay_away, stay_away, host)
+    }
+
+    /// A promise is for `least` at the least: for the window, which does not hold for it, that is nothing.
+    fn turn_away(&mut self, i: usize, stay_away: Nanos, least: Nanos, host: &mut dyn Host) -> Option<()> {
         let pressed = if self.site.retries_marked { self.retried.mean() } else { self.regulator.ratio[1] };
-        let last = self.now >= self.invs[i].wanted || pressed > WALK;
+        let (promised, stay_away) = self.advice(i, stay_away, least, host);
+        let last = promised || self.now >= self.invs[i].wanted || pressed > WALK;
         let inv = &mut self.invs[i];
         let effect = self.site.operations[inv.operation].effect;
         if effect == Effect::Idempotent || (!inv.ran && inv.repeats.is_none()) {
@@ -671,11 +705,45 @@
         Some(())
     }
 
+    /// One that never ran hears when its tenant has room, and has a place then. Not from a server that only
+    /// lost callers can help, which has nothing to promise.
+    fn advice(&mut self, i: usize, stay_away: Nanos, least: Nanos, host: &mut dyn Host) -> (bool, Nanos) {
+        let worse = self.is_flooded() || self.sick() > 0.0 || self.leave.is_some();
+        let Some(fair) = self.fair.as_mut().filter(|_| !worse && self.site.stay_away_max > 0) else {
+            return (false, stay_away);
+        };
+        let inv = &mut self.invs[i];
+        let Some(seat) = inv.seat.take_if(|_| !inv.ran) else { return (false, stay_away) };
+        fair.ended(self.now, &seat, Outcome::Never);
+        let advice = fair.promise(self.now, &seat, least);
+        advice.ticket.iter().for_each(|ticket| host.promise(inv.id, *ticket));
+        (advice.ticket.is_some(), advice.stay_away)
+    }
+
+    /// Takes over new weights of tenants and how much they may use at once.
+    pub fn retune(&mut self, now: Nanos, settings: &meadowstream_fair::Settings) {
+        self.fair.iter_mut().for_each(|fair| fair.retune(settings, now));
+    }
+
+    /// What is known of tenants, where they are told apart.
+    pub fn fair(&mut self) -> Option<&mut Fair> {
+        self.fair.as_mut()
+    }
+
     /// Nothing more is owed; what still runs or calls stays until it ends.
     fn close(&mut self, i: usize) {
         (self.invs[i].answered, self.invs[i].stopped) = (true, false);
         if matches!(self.invs[i].state(), State::Held | State::Reusing) {
-            self.invs.remove(i);
+            self.remove(i);
+        }
+    }
+
+    fn remove(&mut self, i: usize) {
+        let inv = &self.invs[i];
+        if let (Some(fair), Some(seat)) = (&mut self.fair, &inv.seat) {
+            let outcome = if inv.ran { Outcome::Ran(inv.on_cores) } else { Outcome::Never };
+            fair.ended(self.now, seat, outcome);
         }
+        self.invs.remove(i);
     }
 }
--- a/crates/meadowstream/src/invs.rs
+++ b/crates/meadowstream/src/invs.rs
@@ -3,6 +3,7 @@
 //! many are in a state, the memory of all) is kept up to date here and never counted anew.
 
 use crate::{Arrival, Nanos};
+use meadowstream_fair::Seat;
 use meadowstream_hold::{Entry, Hold};
 use slab::Slab;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -30,6 +31,8 @@
     pub due: Nanos,
     pub wanted: Nanos,
     pub held_kb: f64,
+    /// Its place among tenants, where these are told apart.
+    pub seat: Option<Seat>,
     /// Its hinted cost as a ratio to the mean hint of its operation.
     pub size: f64,
     pub repeats: Option<u64>,
--- a/crates/meadowstream/src/lib.rs
+++ b/crates/meadowstream/src/lib.rs
@@ -19,6 +19,9 @@
     fn stop(&mut self, inv: u64);
     /// Answer that nothing was done; `stay_away` is advice for this server alone, 0 for none.
     fn throttle(&mut self, inv: u64, no_retry: bool, stay_away: Nanos);
+    /// What this one is told with `throttle`, which comes next, is a promise: it has a place, and the ticket
+    /// to come back with stands for it.
+    fn promise(&mut self, _inv: u64, _ticket: u64) {}
     /// Answer with an error.
     fn give_up(&mut self, inv: u64);
     /// Let a run that waits at a call make it.
@@ -48,6 +51,8 @@
     /// Invocations a second that the whole fleet grants each tenant.
     pub tenant_allowance: Vec<f64>,
     pub over_share_value: f64,
+    /// Fair shares among tenants that are told apart as they come; `None` where they are not.
+    pub fair: Option<meadowstream_fair::Settings>,
     /// Servers of this tier listed at start.
     pub peers: f64,
     /// Callers of this tier at start.
@@ -126,12 +131,23 @@
     Weight,
 }
 
+/// Who sends, where tenants are told apart as they come.
+#[derive(Clone, Debug, Default)]
+pub struct Sender {
+    pub tenant: Vec<u8>,
+    /// Where it comes from, as far as that cannot be made up.
+    pub origin: u64,
+    /// What it brings of a promise.
+    pub ticket: Option<u64>,
+}
+
 /// An invocation as it is read.
 #[derive(Clone, Debug, Default)]
 pub struct Arrival {
     pub id: u64,
     pub operation: usize,
     pub tenant: usize,
+    pub sender: Option<Sender>,
     /// Since it reached the machine.
     pub age: Nanos,
     /// How long the caller still waits, where it says so.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -163,6 +163,7 @@
         operations,
         tenant_allowance,
         over_share_value: pairs.get_or("over-share-worth", 1.0)?,
+        fair: None,
         peers: pairs.number("peers-total")?.max(1.0),
         callers: pairs.get_or("family-info.callers", 1.0f64)?.max(1.0),
         called_by_own: pairs.get_or("tier", 0u64)? > 0,
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -102,6 +102,7 @@
         hint: (flags & 1 != 0).then(|| event.span(30)),
         held_kb: event.number(38)?,
         tenant: event.u32(42) as usize,
+        sender: None,
         operation: usize::from(event.u8(46)),
     })
 }
