--- a/crates/server/src/lifecycle/configuration.rs
+++ b/crates/server/src/lifecycle/configuration.rs
@@ -2,9 +2,10 @@
 
 use anyhow::{Context, Result, anyhow, bail, ensure};
 use meadowstream::{Effect, Halting};
+use meadowstream_options::Options;
 use meadowstream_settings::Read;
 use serde_json::Value;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -30,18 +31,31 @@
     pub memory_mb: u64,
     pub sockets: usize,
     pub settings: Read,
+    /// This project's own settings and the file they stand in, where there is one.
+    pub options: RefCell<Options>,
+    pub options_path: Option<PathBuf>,
 }
 
 impl Configuration {
-    pub fn load(path: &Path) -> Result<Self> {
+    pub fn load(path: &Path, options: Option<&Path>) -> Result<Self> {
         let text =
             std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
-        Self::read(&text, path)
+        let mut read = Self::read(&text, path)?;
+        if let Some(path) = options {
+            let options = Options::load(path)?;
+            let site = &mut read.settings.deployment;
+            if let Some(tenants) = &options.tenants {
+                site.fair = Some(tenants.fair.clone());
+                site.over_share_value = tenants.surplus_value;
+            }
+            (read.options, read.options_path) = (RefCell::new(options), Some(path.to_path_buf()));
+        }
+        Ok(read)
     }
 
     /// Reads the file once more and takes its addresses over; where it cannot be served all stays as it is.
     pub fn reload(&self) -> Result<()> {
-        let new = Self::load(&self.path)?;
+        let new = Self::load(&self.path, self.options_path.as_deref())?;
         ensure!(
             (&new.name, new.listen) == (&self.name, self.listen),
             "name, listen: another takes a restart"
@@ -51,7 +65,23 @@
             before == new.addresses.get().records.is_some(),
             "records: a call more or less takes a restart"
         );
+        self.refuse_what_takes_a_restart(&new.options.borrow())?;
         self.addresses.set(new.addresses.get());
+        self.options.swap(&new.options);
+        Ok(())
+    }
+
+    /// Weights and how much may be used at once may change while the server runs.
+    fn refuse_what_takes_a_restart(&self, new: &Options) -> Result<()> {
+        let options = self.options.borrow();
+        let Some((before, after)) = options.tenants.as_ref().zip(new.tenants.as_ref()) else {
+            let same = options.tenants.is_some() == new.tenants.is_some();
+            ensure!(same, "tenants: telling them apart or not takes a restart");
+            return Ok(());
+        };
+        let ways = (&before.by, before.origin, before.surplus_value);
+        ensure!(ways == (&after.by, after.origin, after.surplus_value), "tenants: this takes a restart");
+        ensure!(before.fair.ceiling() == after.fair.ceiling(), "ceilings: others take a restart");
         Ok(())
     }
 
@@ -85,6 +115,8 @@
             memory_mb: whole("limits.memory_mb")?,
             sockets: whole("limits.sockets")? as usize,
             settings: meadowstream_settings::read_json(at("settings")?).context("settings")?,
+            options: RefCell::default(),
+            options_path: None,
         };
         configuration.refuse_what_the_wire_cannot_carry()?;
         Ok(configuration)
--- a/crates/server/src/lifecycle/signals.rs
+++ b/crates/server/src/lifecycle/signals.rs
@@ -17,8 +17,11 @@
 pub async fn heed(server: Rc<Server>, mut signals: Signals, stay: Sender<()>) {
     while let Some(signal) = signals.next().await {
         match signal {
-            Ok(Signal::Usr1) => info!("counters:{}", server.counters),
-            Ok(Signal::Hup) => reload(&server),
+            Ok(Signal::Usr1) => {
+                info!("counters:{}", server.counters);
+                let _ = server.inputs.send(Input::ShowTenants).await;
+            }
+            Ok(Signal::Hup) => reload(&server).await,
             Ok(_) if stay.close() => {
                 info!("told to leave");
                 let _ = server.inputs.send(Input::Leave).await;
@@ -31,7 +34,7 @@
 
 /// Guards against parties that have moved: what was open to the old places ends soon. A file that cannot
 /// be served changes nothing.
-fn reload(server: &Server) {
+async fn reload(server: &Server) {
     if let Err(error) = server.configuration.reload() {
         server.counters.reloads_refused.add();
         return warn!("configuration kept as it was: {error:#}");
@@ -40,4 +43,8 @@
     info!(addresses = ?server.configuration.addresses.get(), "configuration read again");
     server.pool.close_all();
     let _ = server.moved.0.try_send(());
+    let tenants = server.configuration.options.borrow().tenants.as_ref().map(|t| t.fair.clone());
+    if let Some(fair) = tenants {
+        let _ = server.inputs.send(Input::Retune(Box::new(fair))).await;
+    }
 }
--- a/crates/server/src/lifecycle/tasks/connection.rs
+++ b/crates/server/src/lifecycle/tasks/connection.rs
@@ -7,9 +7,10 @@
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::future;
-use meadowstream::Nanos;
+use meadowstream::{Nanos, Sender};
+use meadowstream_options::{By, Origin};
 use std::io::{ErrorKind, Read, Write};
-use std::net::TcpStream;
+use std::net::{IpAddr, Ipv4Addr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 use tracing::debug;
@@ -35,6 +36,8 @@
     server: Rc<Server>,
     stream: Async<TcpStream>,
     connection: Rc<Connection>,
+    /// The peer's address without its port.
+    peer: IpAddr,
     hears: Receiver<Told>,
     incoming: Ring,
     outgoing: Ring,
@@ -70,10 +73,12 @@
 ) {
     let _ = stream.get_ref().set_nodelay(true);
     let id = connection.id;
+    let peer = stream.get_ref().peer_addr().map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.ip());
     let mut talk = Talk {
         server: server.clone(),
         stream,
         connection,
+        peer,
         hears,
         incoming: Ring::new(resp::ARRAY_MAX),
         outgoing: Ring::new(OUT_MAX),
@@ -281,12 +286,34 @@
                     since: call.since,
                     held_kb: call.held_kb,
                     body: call.body.to_vec(),
+                    sender: self.sender(&call),
                 };
                 Taken::Input(call.tag, arrived)
             }
         }
     }
 
+    /// Who sends, as the options say that tenants are known; one that does not name itself has no name.
+    fn sender(&self, call: &rpc::Call) -> Option<Sender> {
+        let options = self.server.configuration.options.borrow();
+        let tenants = options.tenants.as_ref()?;
+        let tenant = match &tenants.by {
+            By::Sender => call.sender.map_or(Vec::new(), |sender| sender.to_string().into_bytes()),
+            By::Peer => self.peer.to_string().into_bytes(),
+            By::Field(field) => call.field(field).unwrap_or("").as_bytes().to_vec(),
+        };
+        let origin = match tenants.origin {
+            Origin::Connection => self.connection.id,
+            Origin::Sender => call.sender.unwrap_or(0),
+            Origin::Peer => match self.peer {
+                IpAddr::V4(address) => u64::from(address.to_bits()),
+                // Whoever has one address there has all that share its first half.
+                IpAddr::V6(address) => (address.to_bits() >> 64) as u64,
+            },
+        };
+        Some(Sender { tenant, origin, ticket: call.ticket })
+    }
+
     fn say(&mut self, told: Told) -> std::io::Result<()> {
         match told {
             Told::Answer(tag, answer) => {
--- a/crates/server/src/lifecycle/tasks/decisions.rs
+++ b/crates/server/src/lifecycle/tasks/decisions.rs
@@ -7,11 +7,11 @@
 use crate::wire::interpreter::{self, Notice};
 use crate::wire::resp::WORD_MAX;
 use crate::wire::rpc::Answer;
-use async_channel::{Receiver, Sender};
+use async_channel::{Receiver, Sender as Queue};
 use async_io::Timer;
 use futures_lite::future;
 use meadowstream::brain::{Brain, TICK};
-use meadowstream::{Arrival, Ending, Gauges, Host, Nanos};
+use meadowstream::{Arrival, Ending, Gauges, Host, Nanos, Sender};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::rc::Rc;
@@ -38,7 +38,7 @@
     server: Rc<Server>,
     invocations: Invocations,
     /// Where commands go while there is a link, and how many links there have been.
-    commands: Option<Sender<Vec<u8>>>,
+    commands: Option<Queue<Vec<u8>>>,
     link: u64,
     wakes: BinaryHeap<Reverse<(Nanos, u64, Wake)>>,
     /// Numbers given to wakes, calls and questions.
@@ -47,6 +47,8 @@
     fence: Option<u64>,
     /// The question for gauges and the wake that waits for them.
     asked: Option<(u64, u32)>,
+    /// The invocation that is promised something with its next answer.
+    promised: Option<(u64, u64)>,
     /// Ended here though the module did not mean to; it is told next.
     cut_off: Vec<u64>,
 }
@@ -62,6 +64,7 @@
             last: 0,
             fence: None,
             asked: None,
+            promised: None,
             cut_off: Vec::new(),
         };
         Self { brain: None, hands }
@@ -122,7 +125,7 @@
 
     fn take(&mut self, input: Input) {
         match input {
-            Input::Arrived { connection, tag, operation, reference, since, held_kb, body } => {
+            Input::Arrived { connection, tag, operation, reference, since, held_kb, body, sender } => {
                 let invocation = Invocation {
                     reference,
                     operation,
@@ -136,7 +139,7 @@
                     asked: Vec::new(),
                     call: None,
                 };
-                self.arrived(invocation, since, held_kb);
+                self.arrived(invocation, since, held_kb, sender);
             }
             Input::Broken(connection) => {
                 for inv in self.hands.invocations.open_on(connection) {
@@ -153,6 +156,10 @@
                     self.with_brain(|brain, now, hands| brain.call_ended(now, inv, ending, took, hands));
                 }
             }
+            Input::ShowTenants => self.show_tenants(),
+            Input::Retune(settings) => {
+                self.with_brain(|brain, now, _| brain.retune(now, &settings));
+            }
             Input::Leave => {
                 let grace = self.hands.server.configuration.stop_ms * 1_000_000;
                 self.with_brain(|brain, now, hands| brain.told_to_leave(now, grace, hands));
@@ -160,7 +167,7 @@
         }
     }
 
-    fn arrived(&mut self, invocation: Invocation, since: u64, held_kb: f64) {
+    fn arrived(&mut self, invocation: Invocation, since: u64, held_kb: f64, sender: Option<Sender>) {
         let (operation, tag, connection) =
             (invocation.operation, invocation.tag, invocation.connection.clone());
         let id = self.brain.as_ref().and_then(|_| self.hands.invocations.take_in(invocation));
@@ -171,11 +178,26 @@
             return;
         };
         let age = self.hands.server.clock.age(since).max(0) as Nanos;
-        let arrival = Arrival { id, operation, age, held_kb, ..Arrival::default() };
+        let arrival = Arrival { id, operation, age, held_kb, sender, ..Arrival::default() };
         self.with_brain(|brain, now, hands| brain.arrived(now, arrival, hands));
     }
 
-    fn linked(&mut self, cold: bool, age: Nanos, commands: Sender<Vec<u8>>) {
+    /// Who asks for most, and how promises stand: a bounded number of lines.
+    fn show_tenants(&mut self) {
+        let options = self.hands.server.configuration.options.borrow();
+        let Some(shown) = options.tenants.as_ref().map(|tenants| tenants.shown) else { return };
+        let now = self.hands.server.clock.now();
+        let Some(fair) = self.brain.as_mut().and_then(Brain::fair) else { return };
+        let (counts, level) = (fair.counts, fair.level());
+        let (accounts, promises, bytes) = (fair.accounts(), fair.promises(), fair.bytes());
+        info!(level, accounts, promises, bytes, ?counts, "shares");
+        for heavy in fair.heaviest(now, shown) {
+            let meadowstream_fair::Heavy { name, weight, asks, ahead, within, surplus } = heavy;
+            info!(tenant = name, weight, asks, ahead, within, surplus, "share");
+        }
+    }
+
+    fn linked(&mut self, cold: bool, age: Nanos, commands: Queue<Vec<u8>>) {
         self.hands.commands = Some(commands);
         self.hands.link += 1;
         info!(cold, age_ms = age / 1_000_000, links = self.hands.link, "linked to the interpreter");
@@ -401,8 +423,13 @@
         }
     }
 
+    fn promise(&mut self, inv: u64, ticket: u64) {
+        self.promised = Some((inv, ticket));
+    }
+
     fn throttle(&mut self, inv: u64, no_retry: bool, stay_away: Nanos) {
-        self.answer(inv, Answer::Throttled { no_retry, stay_away });
+        let ticket = self.promised.take().filter(|(to, _)| *to == inv).map(|(_, ticket)| ticket);
+        self.answer(inv, Answer::Throttled { no_retry, stay_away, ticket });
     }
 
     fn give_up(&mut self, inv: u64) {
--- a/crates/server/src/lifecycle/tasks/mod.rs
+++ b/crates/server/src/lifecycle/tasks/mod.rs
@@ -71,6 +71,8 @@
         since: u64,
         held_kb: f64,
         body: Vec<u8>,
+        /// Where tenants are told apart.
+        sender: Option<meadowstream::Sender>,
     },
     /// A connection has broken: nobody waits for what was open on it.
     Broken(u64),
@@ -89,5 +91,9 @@
         reply: Vec<u8>,
         took: Nanos,
     },
+    /// The log is to say who asks for most.
+    ShowTenants,
+    /// Weights and shares are others from now on.
+    Retune(Box<meadowstream_fair::Settings>),
     Leave,
 }
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -8,9 +8,11 @@
 
 use anyhow::{Context, Result, ensure};
 use lifecycle::{configuration::Configuration, start};
+use meadowstream_stand_ins::{night, table::table};
 use std::ffi::OsStr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 use tracing_subscriber::EnvFilter;
 
 const HELP: &str = "\
@@ -18,22 +20,31 @@
 
   meadowstream serve [--config FILE]   serve until SIGTERM or SIGINT
   meadowstream check FILE              say whether a configuration can be served
+  meadowstream rehearse                play a busy night of many tenants on loopback
   meadowstream version                 say which version this is
 
 meadowstream COMMAND --help says more. Exit codes: 0 done, 1 failed, 2 wrong usage.
 ";
 const SERVE: &str = "\
-meadowstream serve [--config FILE]
+meadowstream serve [--config FILE] [--options FILE]
 
 Serves until SIGTERM or SIGINT, then answers all that has come and ends. FILE is what $ROUTER_CONFIG
 names where it is not given. The log goes to standard error; RUST_LOG=debug says more, and SIGUSR1 adds
-the counters to it.
+the counters to it, SIGHUP reads the files again. --options names a file of this project's own settings
+(deploy/meadowstream.xsd); without it tenants are not told apart.
 ";
 const CHECK: &str = "\
-meadowstream check FILE
+meadowstream check FILE [--options FILE]
 
 Reads a configuration as serve would and says what it would do, or names the part that cannot be served.
 ";
+const REHEARSE: &str = "\
+meadowstream rehearse [--tenants N] [--seconds N] [--log]
+
+Starts this program with stand-ins for all it speaks to, on loopback, and plays a busy night: N small tenants
+(200) and one that floods, for N seconds (20), a third of them calm. Ends with a table of each group's share,
+latency and advice kept. --log shows what the program says of shares. Nothing else is needed.
+";
 const VERSION: &str = "\
 meadowstream version
 
@@ -47,6 +58,7 @@
     let page = match command.as_deref() {
         Some("serve") => SERVE,
         Some("check") => CHECK,
+        Some("rehearse") => REHEARSE,
         Some("version") => VERSION,
         _ => HELP,
     };
@@ -78,16 +90,28 @@
 /// What the words ask for; an error where they ask for nothing there is.
 fn obey(command: Option<&str>, mut arguments: pico_args::Arguments) -> Result<Option<Act>> {
     let path = |text: &OsStr| Ok::<_, std::convert::Infallible>(PathBuf::from(text));
+    let options: Option<PathBuf> = match command {
+        Some("serve" | "check") => arguments.opt_value_from_os_str("--options", path)?,
+        _ => None,
+    };
     let act: Act = match command {
         Some("serve") => {
             let given: Option<PathBuf> = arguments.opt_value_from_os_str("--config", path)?;
             let file = given.or_else(|| std::env::var_os("ROUTER_CONFIG").map(PathBuf::from));
             let file = file.context("neither --config nor $ROUTER_CONFIG names a configuration")?;
-            Box::new(move || serve(&file))
+            Box::new(move || serve(&file, options.as_deref()))
         }
         Some("check") => {
             let file: PathBuf = arguments.free_from_os_str(path)?;
-            Box::new(move || check(&file))
+            Box::new(move || check(&file, options.as_deref()))
+        }
+        Some("rehearse") => {
+            let tenants: usize = arguments.opt_value_from_str("--tenants")?.unwrap_or(200);
+            let seconds: u64 = arguments.opt_value_from_str("--seconds")?.unwrap_or(20);
+            ensure!((1..=2000).contains(&tenants), "--tenants: {tenants} is not within 1 and 2000");
+            ensure!((6..=50).contains(&seconds), "--seconds: {seconds} is not within 6 and 50");
+            let log = arguments.contains("--log");
+            Box::new(move || rehearse(tenants, seconds, log))
         }
         Some("version") => Box::new(|| {
             println!("meadowstream {}", env!("CARGO_PKG_VERSION"));
@@ -100,15 +124,42 @@
     Ok(Some(act))
 }
 
-fn serve(file: &std::path::Path) -> Result<()> {
+fn serve(file: &Path, options: Option<&Path>) -> Result<()> {
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
     tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(|| log::Log).init();
-    start::serve(Configuration::load(file)?)
+    start::serve(Configuration::load(file, options)?)
 }
 
-fn check(file: &std::path::Path) -> Result<()> {
-    let read = Configuration::load(file)?;
+fn check(file: &Path, options: Option<&Path>) -> Result<()> {
+    let read = Configuration::load(file, options)?;
     let operations = read.settings.operation_names.join(", ");
     println!("{} would listen on {} for {operations}", read.name, read.listen);
+    if let Some(fair) = &read.settings.deployment.fair {
+        let (named, most) = (fair.named.len(), fair.ceiling().div_ceil(1 << 20));
+        println!("tenants are told apart, {named} of them by name, in {most} MiB at most");
+    }
+    Ok(())
+}
+
+fn rehearse(tenants: usize, seconds: u64, log: bool) -> Result<()> {
+    let program = std::env::current_exe().context("cannot find this program")?;
+    let calm = Duration::from_secs(seconds / 3);
+    let plan = night::busy_night(calm, Duration::from_secs(seconds) - calm, tenants);
+    let (cores, all) = (plan.cores, tenants + 1);
+    println!(
+        "{all} tenants at {cores} cores, asking for three times of what they can do, nine tenths by one\n"
+    );
+    let outcome = night::play(&program, plan, |line| println!("{line}"))?;
+    println!("\n{}", table(&outcome.tallies));
+    println!(
+        "Of the night alone; \"in time\" is within the latency objective from the first try, \"kept\" the part"
+    );
+    println!(
+        "of returns as advised that were let in. The program held {} MiB at most.",
+        outcome.peak_kib >> 10
+    );
+    if log {
+        println!("\n{}", outcome.shares.join("\n"));
+    }
     Ok(())
 }
--- a/crates/server/src/wire/rpc.rs
+++ b/crates/server/src/wire/rpc.rs
@@ -30,6 +30,28 @@
     pub since: u64,
     pub held_kb: f64,
     pub body: &'a [u8],
+    /// The number of the balancer.
+    pub sender: Option<u64>,
+    /// What stands for a promise that the caller comes back on.
+    pub ticket: Option<u64>,
+    pub fields: &'a str,
+}
+
+impl<'a> Call<'a> {
+    pub fn field(&self, name: &str) -> Option<&'a str> {
+        field(self.fields, name)
+    }
+}
+
+fn field<'a>(fields: &'a str, name: &str) -> Option<&'a str> {
+    let pairs = fields.split(',').filter_map(|field| field.split_once('='));
+    pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+/// Sixteen hexadecimal digits.
+fn hex(text: &str) -> Option<u64> {
+    let whole = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    u64::from_str_radix(text, 16).ok().filter(|_| whole)
 }
 
 pub fn command<'a>(words: &[&'a [u8]]) -> Command<'a> {
@@ -47,29 +69,30 @@
     let [operation, fields, body] = words else { return Err("a call has five words") };
     let operation = std::str::from_utf8(operation).map_err(|_| "operation is no text")?;
     let fields = std::str::from_utf8(fields).map_err(|_| "fields are no text")?;
-    let field = |name: &str| {
-        fields.split(',').filter_map(|field| field.split_once('=')).find(|(key, _)| *key == name).map(|x| x.1)
-    };
+    let whole = fields;
+    let field = |name: &str| field(whole, name);
     if body.len() > BODY_MAX {
         return Err("body is too long");
     }
-    let reference =
-        field("ref").filter(|text| text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit()));
     let held_kb = field("room").and_then(|text| text.parse().ok());
     let rank = field("class_rank").map_or(Ok(0.0), str::parse::<f64>);
     if !rank.is_ok_and(|rank| (0.0..1.0).contains(&rank)) {
         return Err("bad rank");
     }
-    if field("sender").is_some_and(|text| decimal::<u64>(text.as_bytes()).is_none()) {
-        return Err("bad sender");
-    }
+    let sender =
+        field("sender").map(|text| decimal::<u64>(text.as_bytes()).ok_or("bad sender")).transpose()?;
+    // Whatever else another installation may mean by the word is no ticket, and does no harm.
+    let ticket = field("ticket").and_then(hex);
     Ok(Call {
         tag,
         operation,
-        reference: reference.and_then(|text| u64::from_str_radix(text, 16).ok()).ok_or("bad ref")?,
+        reference: field("ref").and_then(hex).ok_or("bad ref")?,
         since: field("since").and_then(|text| decimal(text.as_bytes())).ok_or("bad since")?,
         held_kb: held_kb.filter(|kb| *kb > 0.0 && *kb < ROOM_MAX).ok_or("bad room")?,
         body,
+        sender,
+        ticket,
+        fields: whole,
     })
 }
 
@@ -77,7 +100,12 @@
 #[derive(Debug, PartialEq)]
 pub enum Answer {
     Succeeded(Vec<u8>),
-    Throttled { no_retry: bool, stay_away: Nanos },
+    /// With a ticket the time to stay away is a promise.
+    Throttled {
+        no_retry: bool,
+        stay_away: Nanos,
+        ticket: Option<u64>,
+    },
     Errored,
     Health(bool),
 }
@@ -92,13 +120,14 @@
         Answer::Health(false) => b"unfit",
     };
     let mut fields: Vec<String> = advertised.map(|value| format!("pressure={value}")).into_iter().collect();
-    if let Answer::Throttled { no_retry, stay_away } = answer {
+    if let Answer::Throttled { no_retry, stay_away, ticket } = answer {
         if *stay_away > 0 {
             fields.push(format!("cooldown={}", stay_away.div_ceil(1_000_000)));
         }
         if *no_retry {
             fields.push("nowhere=1".to_string());
         }
+        fields.extend(ticket.map(|ticket| format!("ticket={ticket:016x}")));
     }
     let body: &[u8] = if let Answer::Succeeded(result) = answer { result } else { b"" };
     resp::put_array(out, &[tag.to_string().as_bytes(), word, fields.join(",").as_bytes(), body]);
--- a/crates/server/src/wire/tests.rs
+++ b/crates/server/src/wire/tests.rs
@@ -77,7 +77,8 @@
 
 #[test]
 fn calls() {
-    let fields: &[u8] = b"x,room=24.5,new=,ref=9b1f03aa5c7e2d41,since=1764576000123";
+    let fields: &[u8] =
+        b"x,room=24.5,new=,ref=9b1f03aa5c7e2d41,since=1764576000123,sender=4,ticket=00000000000000ff";
     let call = rpc::Call {
         tag: 7,
         operation: "checkout",
@@ -85,9 +86,14 @@
         since: 1_764_576_000_123,
         held_kb: 24.5,
         body: b"\0\xff",
+        sender: Some(4),
+        ticket: Some(0x00ff),
+        fields: "",
     };
     let words = [&b"RPC.CALL"[..], b"7", b"checkout", fields, b"\0\xff"];
-    assert_eq!(rpc::command(&words), rpc::Command::Call(call));
+    let rpc::Command::Call(read) = rpc::command(&words) else { panic!("no call") };
+    assert_eq!((read.field("new"), read.field("x"), read.field("room")), (Some(""), None, Some("24.5")));
+    assert_eq!(rpc::Call { fields: "", ..read }, call);
     assert_eq!(rpc::command(&[b"RPC.HEALTH", b"8", b""]), rpc::Command::Health { tag: 8 });
 }
 
@@ -126,9 +132,11 @@
         answer(rpc::Answer::Succeeded(b"hi".to_vec()), Some(0.5)),
         ["7", "good", "pressure=0.5", "hi"]
     );
-    let throttled = rpc::Answer::Throttled { no_retry: true, stay_away: 1_000_001 };
+    let throttled = rpc::Answer::Throttled { no_retry: true, stay_away: 1_000_001, ticket: None };
     assert_eq!(answer(throttled, Some(0.0)), ["7", "refused", "pressure=0,cooldown=2,nowhere=1", ""]);
-    let throttled = rpc::Answer::Throttled { no_retry: false, stay_away: 0 };
+    let throttled = rpc::Answer::Throttled { no_retry: false, stay_away: 5_000_000, ticket: Some(10) };
+    assert_eq!(answer(throttled, None), ["7", "refused", "cooldown=5,ticket=000000000000000a", ""]);
+    let throttled = rpc::Answer::Throttled { no_retry: false, stay_away: 0, ticket: None };
     assert_eq!(answer(throttled, None), ["7", "refused", "", ""]);
     assert_eq!(answer(rpc::Answer::Health(false), None), ["7", "unfit", "", ""]);
 }
