Promised places are charged on return and make room last; accounts that owe stay

Charged when they were made, promises that nobody came for took a tenant's share away: all of it where no caller returns. Some of those let in were then turned away from a full hold, and the write-back of accounts that were given up never had anything to write.

Places of a tenant follow one another at the rate of its share and are charged when the caller is back; in the hold a promised one makes room after all others; an account is given up only if it owes nothing.

--- a/crates/fair/src/index.rs
+++ b/crates/fair/src/index.rs
@@ -18,6 +18,8 @@
     /// within its share, and beyond it.
     pub finish: f64,
     pub order: [f64; 2],
+    /// Fair time up to which its places are promised.
+    pub booked: f64,
     pub weight: f64,
     /// Its work as a ratio to what is guessed of its operations.
     pub ratio: Ratio,
@@ -41,6 +43,7 @@
         Self {
             finish,
             order: [0.0; 2],
+            booked: 0.0,
             weight,
             ratio: Ratio::default(),
             named,
@@ -155,15 +158,14 @@
         }
     }
 
-    fn give_to(&mut self, at: u32, print: Print, account: Account, now: Nanos) -> (Print, Account) {
+    fn give_to(&mut self, at: u32, print: Print, account: Account, now: Nanos) {
         self.serials = self.serials.wrapping_add(1);
         let kept = &mut self.kept[at as usize];
-        let gone = std::mem::replace(&mut kept.account, account);
+        kept.account = account;
         let gone_print = std::mem::replace(&mut kept.print, print);
         (kept.serial, kept.used) = (self.serials, now);
         self.places.remove(&gone_print);
         self.places.insert(print, at);
-        (gone_print, gone)
     }
 
     fn add(&mut self, print: Print, account: Account, now: Nanos) -> Slot {
@@ -219,8 +221,9 @@
     }
 
     /// A place for a new one: a free one, or that of the one unused for longest if it owes nothing and is
-    /// idle, or the new one is far over its share; what had it comes back. `None` where all are in use:
-    /// nobody loses an account to a crowd, only to one that must be watched more closely.
+    /// idle, or the new one is far over its share; true where one lost it, which then owes nothing that could
+    /// be forgotten. `None` where all are in use: nobody loses an account to a crowd, only to one that must
+    /// be watched more closely.
     pub fn take_in(
         &mut self,
         print: Print,
@@ -228,9 +231,9 @@
         now: Nanos,
         fair_time: f64,
         over: bool,
-    ) -> Option<(Slot, Option<(Print, Account)>)> {
+    ) -> Option<(Slot, bool)> {
         if self.kept.len() < self.most {
-            return Some((self.add(print, account, now), None));
+            return Some((self.add(print, account, now), false));
         }
         let at = self.oldest;
         let kept = self.kept.get_mut(at as usize)?;
@@ -238,10 +241,10 @@
         if !idle {
             return None;
         }
-        let gone = self.give_to(at, print, account, now);
+        self.give_to(at, print, account, now);
         self.unlink(at);
         self.link_first(at);
-        Some((Slot { at, serial: self.serials }, Some(gone)))
+        Some((Slot { at, serial: self.serials }, true))
     }
 
     /// What each asks for of late.
--- a/crates/fair/src/ledger.rs
+++ b/crates/fair/src/ledger.rs
@@ -1,7 +1,6 @@
 //! Promises: who was turned away and told when to come back has a place until then and a little longer. A
 //! ticket that cannot be guessed stands for it, good once, for its tenant, from whatever connection.
 
-use crate::Place as Sat;
 use crate::wheel::Wheel;
 use crate::{Nanos, Print};
 use rand::{Rng, SeedableRng};
@@ -16,21 +15,18 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Promise {
     pub print: Print,
-    /// Where it was booked, its work and the fair time that takes, and its tag in the order.
-    pub(crate) sat: Sat,
     pub work: f64,
-    pub span: f64,
+    /// Its tag in the order, its place in its tenant's share, and how much the wait was to bring.
     pub tag: f64,
-    /// Fair time at which its tenant's share is used up without it, and how much the wait was to bring.
-    pub begins: f64,
+    pub place: f64,
     pub brings: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Return {
     AsPromised(Promise),
-    /// The place is lost, and what was booked for it is free again.
-    Early(Promise),
+    /// The place is lost.
+    Early,
     /// Too late, used before, never given, or another tenant's.
     Unknown,
 }
@@ -122,7 +118,7 @@
         // The place itself comes free with its spoke of the wheel, so that no number runs out twice.
         place.ticket = 0;
         if now < from {
-            Return::Early(promise)
+            Return::Early
         } else if late {
             Return::Unknown
         } else {
@@ -130,14 +126,14 @@
         }
     }
 
-    /// Ends what nobody came for in time, each handed out once.
-    pub fn expire(&mut self, now: Nanos, mut lapsed: impl FnMut(&Promise)) {
+    /// Ends what nobody came for in time, each told of once.
+    pub fn expire(&mut self, now: Nanos, mut lapsed: impl FnMut()) {
         let Self { wheel, places, tickets, free, .. } = self;
         wheel.turn(now, |at| {
             if let Some(place) = places[at as usize].take() {
                 free.push(at);
                 if tickets.remove(&place.ticket).is_some() {
-                    lapsed(&place.promise);
+                    lapsed();
                 }
             }
         });
--- a/crates/fair/src/lib.rs
+++ b/crates/fair/src/lib.rs
@@ -205,22 +205,6 @@
 /// A promise does not hold where more than this share of what was to be worked off meanwhile was not.
 const WORSE: f64 = 0.5;
 
-/// What was booked for a promise is free again; in the sketch, which forgets nothing, it is not.
-fn give_back(index: &mut Index, origins: &mut Origins, promise: &ledger::Promise) {
-    let booked = promise.span;
-    match promise.sat {
-        Place::Account(slot) => index.get(slot).into_iter().for_each(|account| {
-            account.finish -= booked;
-            account.order[0] -= booked;
-        }),
-        Place::Newcomers(place) => {
-            origins.set_finish(place, origins.finish(place) - booked);
-            origins.order(place)[0] -= booked;
-        }
-        Place::Sketch | Place::Nowhere => {}
-    }
-}
-
 pub struct Fair {
     settings: Settings,
     key: (u64, u64),
@@ -273,11 +257,8 @@
     /// Time goes on; returns the latest there was.
     fn pass(&mut self, now: Nanos) -> Nanos {
         let now = self.level.pass(now);
-        let Self { ledger, index, origins, counts, .. } = self;
-        ledger.expire(now, |lapsed| {
-            counts.lapsed += 1;
-            give_back(index, origins, lapsed);
-        });
+        let counts = &mut self.counts;
+        self.ledger.expire(now, || counts.lapsed += 1);
         now
     }
 
@@ -294,25 +275,16 @@
         match ticket.map(|ticket| self.ledger.back(now, ticket, print)) {
             Some(Return::AsPromised(promise)) => {
                 // Worse off than stated: the share has brought far less meanwhile than it was to.
-                let short = promise.begins - present - self.allowance();
+                let short = promise.place - present;
                 if short <= promise.brings * WORSE {
                     self.counts.kept += 1;
                     self.counts.within += 1;
-                    seat.promised = true;
-                    seat.charged = promise.work;
-                    // It has queued since it was promised, ahead of what its tenant has sent later.
-                    seat.tag = promise.tag.max(self.turns[0]) as u64;
-                    seat.queued = promise.span;
                     self.note(place, true);
-                    return seat;
+                    return self.let_in(seat, &promise);
                 }
                 self.counts.broken += 1;
-                give_back(&mut self.index, &mut self.origins, &promise);
-            }
-            Some(Return::Early(promise)) => {
-                self.counts.early += 1;
-                give_back(&mut self.index, &mut self.origins, &promise);
             }
+            Some(Return::Early) => self.counts.early += 1,
             Some(Return::Unknown) => self.counts.unknown += 1,
             None => {}
         }
@@ -330,6 +302,22 @@
         seat
     }
 
+    /// One that is back as promised: it has queued since then, ahead of what its tenant has sent later.
+    fn let_in(&mut self, mut seat: Seat, promise: &ledger::Promise) -> Seat {
+        (seat.promised, seat.guess, seat.charged) = (true, promise.work, promise.work);
+        let tag = promise.tag.max(self.turns[0]);
+        (seat.tag, seat.queued) = (tag as u64, promise.work / seat.weight);
+        let queued = seat.queued;
+        if let Some(order) = self.order_of(seat.place) {
+            order[0] = order[0].max(tag) + queued;
+        }
+        if seat.place != Place::Sketch {
+            let begins = self.finish_of(seat.place, seat.print).max(self.level.fair_time());
+            self.charge(&seat, begins, promise.work);
+        }
+        seat
+    }
+
     /// How far ahead of fair time a finish may lie within the share.
     fn allowance(&self) -> f64 {
         (self.level.cores() * self.settings.at_once as f64).min(self.most)
@@ -363,11 +351,7 @@
         let over = finish - self.level.fair_time() > self.allowance();
         match self.index.take_in(print, account, now, self.level.fair_time(), over) {
             Some((slot, evicted)) => {
-                if let Some((print, account)) = evicted {
-                    self.counts.evicted += 1;
-                    // It gains nothing by falling out: the sketch tells at least what it has used.
-                    self.sketch.raise(print, account.finish, self.level.fair_time());
-                }
+                self.counts.evicted += u64::from(evicted);
                 self.index.get(slot).expect("taken in just now").asked(now, work);
                 (Place::Account(slot), weight, work)
             }
@@ -474,30 +458,37 @@
     /// It is never less than `least`, which is what the server itself needs.
     pub fn promise(&mut self, now: Nanos, seat: &Seat, least: Nanos) -> Advice {
         let now = self.pass(now);
-        let finish = self.finish_of(seat.place, seat.print);
-        let present = self.level.fair_time();
-        let begins = finish.max(present);
-        let waits = (begins - present - self.allowance()).max(0.0) / self.level.cores();
-        let waits = waits.max(least as f64);
+        let (present, cores) = (self.level.fair_time(), self.level.cores());
+        let room = self.finish_of(seat.place, seat.print) - self.allowance();
+        // Places follow one another at the rate of the share, whoever has room meanwhile: a later asker gets
+        // a later one. They are charged on return, so that one nobody comes for costs its tenant nothing.
+        let place = self.booked(seat.place).map_or(room, |booked| booked.max(room)).max(present);
+        let waits = ((place - present) / cores).max(least as f64);
         let Seat { place: sat, print, guess: work, .. } = *seat;
-        let span = work / seat.weight;
         let tag = self.order_of(sat).map_or(0.0, |order| order[0]).max(self.turns[0]);
-        let promise =
-            ledger::Promise { print, sat, work, span, tag, begins, brings: waits * self.level.cores() };
+        let promise = ledger::Promise { print, work, tag, place, brings: waits * cores };
         let Some((stay_away, ticket)) = self.ledger.make(now, waits, promise) else {
             self.counts.unpromised += 1;
             let longest = self.settings.longest as f64;
             return Advice { stay_away: waits.clamp(longest / 2.0, longest) as Nanos, ticket: None };
         };
         self.counts.promised += 1;
-        // The place is taken from now on: whoever asks again gets a later one.
-        self.charge(seat, begins, work);
-        if let Some(order) = self.order_of(sat) {
-            order[0] = tag + span;
+        match self.booked(sat) {
+            Some(booked) => *booked = place + work / seat.weight,
+            // The sketch knows no bookings: there the place is charged at once.
+            None => self.charge(seat, place.max(present), work),
         }
         Advice { stay_away, ticket: Some(ticket) }
     }
 
+    fn booked(&mut self, place: Place) -> Option<&mut f64> {
+        match place {
+            Place::Account(slot) => self.index.get(slot).map(|account| &mut account.booked),
+            Place::Newcomers(place) => Some(self.origins.booked(place)),
+            Place::Sketch | Place::Nowhere => None,
+        }
+    }
+
     /// Takes new weights over, and how much may be used at once; ceilings stay as they are until a restart.
     pub fn retune(&mut self, new: &Settings, now: Nanos) {
         let now = self.pass(now);
--- a/crates/fair/src/origins.rs
+++ b/crates/fair/src/origins.rs
@@ -12,6 +12,7 @@
     id: u64,
     finish: f64,
     order: [f64; 2],
+    booked: f64,
     asks: Flow,
     /// Work of its newcomers as a ratio to what is guessed.
     ratio: Ratio,
@@ -74,7 +75,7 @@
         if now.saturating_sub(origin.used) > IDLE {
             self.places.remove(&origin.id);
             // What its place has used stays with it.
-            *origin = Origin { finish: origin.finish, order: origin.order, ..new() };
+            *origin = Origin { finish: origin.finish, order: origin.order, booked: origin.booked, ..new() };
             self.places.insert(id, place);
         }
         place
@@ -121,6 +122,10 @@
         &mut self.all[place].order
     }
 
+    pub fn booked(&mut self, place: usize) -> &mut f64 {
+        &mut self.all[place].booked
+    }
+
     pub fn asks(&self, now: Nanos, weight: f64) -> impl Iterator<Item = Ask> {
         self.all.iter().map(move |origin| Ask { cores: origin.asks.cores(now), weight, many: 1.0 })
     }
--- a/crates/fair/tests/shares.rs
+++ b/crates/fair/tests/shares.rs
@@ -209,6 +209,12 @@
     let after = within(&mut fair, 3600 * SECOND, 1000);
     assert!(after <= 102, "an hour's jump brought {after}");
     assert_eq!(within(&mut fair, 5 * SECOND, 1000), 0, "it went back");
+    // Nor does a jump forgive what was used beyond a share.
+    let start = 3600 * SECOND;
+    fair.set_level(start, 0.01, f64::INFINITY);
+    let seat = fair.arrived(start + 100 * SECOND, who, 10e6, None);
+    fair.ended(start + 100 * SECOND, &seat, Outcome::Ran(5 * SECOND));
+    assert_eq!(within(&mut fair, start + 4000 * SECOND, 100), 0, "an hour's jump forgave a long run");
 }
 
 #[test_case(b""; "of no bytes")]
@@ -258,6 +264,33 @@
     }
 }
 
+/// One with an account that is far ahead keeps it while it is idle, so that what it used is not forgotten.
+#[test]
+fn an_account_that_owes_is_not_given_up() {
+    let settings = Settings { accounts: 16, at_once: 5 * SECOND, ..Settings::default() };
+    let mut fair = Fair::new(settings, 1.0, 1, 0);
+    let name = |n: u64| n.to_be_bytes();
+    let mut now = 0;
+    for _ in 0..8 {
+        now += SECOND;
+        (0..16u64).for_each(|n| {
+            fair.arrived(now, Who { name: &name(n), origin: 1 }, 1e6, None);
+        });
+    }
+    fair.set_level(now, 0.005, f64::INFINITY);
+    let seat = fair.arrived(now, Who { name: &name(0), origin: 1 }, 1e6, None);
+    assert!(!seat.surplus);
+    fair.ended(now, &seat, Outcome::Ran(20 * SECOND));
+    // Others want its account, for longer than an idle one may stay.
+    for n in 0..400u64 {
+        now += SECOND / 4;
+        fair.arrived(now, Who { name: &name(100 + n % 40), origin: 1 }, 1e6, None);
+    }
+    assert!(fair.counts.evicted > 4, "{:?}", fair.counts);
+    let back = fair.arrived(now, Who { name: &name(0), origin: 1 }, 1e6, None);
+    assert!(back.surplus, "{back:?}");
+}
+
 /// 1,000,000 equal tenants, all but 4,096 of them in the sketch, ask for twice of what there is. Counted once
 /// all are known and have used what they may at once.
 #[test]
--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -28,6 +28,8 @@
     pub rank: usize,
     /// Start tag of fair order within the rank: the lower one runs first. All alike where no tenants are.
     pub tag: u64,
+    /// It was promised its place: it makes room only where all others have.
+    pub promised: bool,
     pub arrived: Nanos,
     /// Until when its answer is of use; of entries with the same tag the earlier one runs first.
     pub wanted: Nanos,
@@ -136,7 +138,8 @@
         self.overdue.first().copied()
     }
 
-    /// Of the lowest rank the one furthest ahead of its share, of equals the one that came last.
+    /// Of the lowest rank the one furthest ahead of its share, of equals the one that came last; those that
+    /// were promised their place after all others.
     pub fn least_worthy(&self) -> Option<usize> {
         self.lines.iter().find_map(Line::newest)
     }
--- a/crates/hold/src/line.rs
+++ b/crates/hold/src/line.rs
@@ -75,9 +75,9 @@
     work: f64,
     longest: f64,
     lateness: f64,
-    /// Tag and arrival, and tag alone; then the number, and where its owner keeps it.
-    latest: (u64, Nanos, u64, usize),
-    newest: (u64, u64, usize),
+    /// Not promised, tag and arrival, and without the arrival; then the number, and where its owner keeps it.
+    latest: (bool, u64, Nanos, u64, usize),
+    newest: (bool, u64, u64, usize),
 }
 
 impl Sums {
@@ -96,8 +96,8 @@
             self.work += usual.work * entry.size;
             self.longest = self.longest.max(whole);
             self.sizes[entry.operation] += entry.size;
-            self.latest = self.latest.max((entry.tag, entry.arrived, entry.seq, entry.key));
-            self.newest = self.newest.max((entry.tag, entry.seq, entry.key));
+            self.latest = self.latest.max(latest(entry));
+            self.newest = self.newest.max((!entry.promised, entry.tag, entry.seq, entry.key));
         }
     }
 
@@ -125,6 +125,10 @@
     leaves: usize,
 }
 
+fn latest(entry: &Entry) -> (bool, u64, Nanos, u64, usize) {
+    (!entry.promised, entry.tag, entry.arrived, entry.seq, entry.key)
+}
+
 type Order = (u64, Nanos, u64, u64);
 
 fn order(entry: &Entry) -> Order {
@@ -284,7 +288,7 @@
     }
 
     pub fn newest(&self) -> Option<usize> {
-        (!self.is_empty()).then(|| self.tree[1].newest.2)
+        (!self.is_empty()).then(|| self.tree[1].newest.3)
     }
 
     /// The first entry that would end after it is wanted, where `ahead` of work and `before` entries of
@@ -305,16 +309,15 @@
     /// Of all up to this place the one with the highest tag that arrived last.
     pub fn latest_up_to(&self, (block, at): Place) -> Option<usize> {
         let here = self.blocks[block][..=at].iter();
-        let mut latest =
-            here.map(|entry| (entry.tag, entry.arrived, entry.seq, entry.key)).max().unwrap_or_default();
+        let mut last = here.map(latest).max().unwrap_or_default();
         let mut node = self.leaves + block;
         while node > 1 {
             if node % 2 == 1 {
-                latest = latest.max(self.tree[node - 1].latest);
+                last = last.max(self.tree[node - 1].latest);
             }
             node /= 2;
         }
-        Some(latest.3)
+        Some(last.4)
     }
 }
 
--- a/crates/meadowstream/src/invs.rs
+++ b/crates/meadowstream/src/invs.rs
@@ -70,7 +70,8 @@
 
     fn entry(&self, key: usize) -> Entry {
         let Self { seq, id, operation, rank, tag, arrived, wanted, size, .. } = *self;
-        Entry { seq, key, id, operation, rank, tag, arrived, wanted, size }
+        let promised = self.seat.is_some_and(|seat| seat.promised);
+        Entry { seq, key, id, operation, rank, tag, promised, arrived, wanted, size }
     }
 }
 
