--- a/crates/server/tests/fair_queues.rs
+++ b/crates/server/tests/fair_queues.rs
@@ -29,6 +29,10 @@
     assert_eq!((count("errored"), count("bad_commands"), count("malformed")), (0, 0, 0));
     assert!(outcome.seen.crowd.load(Relaxed) <= 16, "the cores survive eight times as many runs");
     assert!(outcome.peak_kib < 64 << 10, "{} KiB", outcome.peak_kib);
+    let shares = outcome.shares.iter().find(|line| line.contains(" bytes=")).expect("asked for");
+    let bytes = shares.split(" bytes=").nth(1).and_then(|rest| rest.split(' ').next()?.parse::<usize>().ok());
+    let ceiling = meadowstream_fair::Settings::default().ceiling();
+    assert!(bytes.is_some_and(|bytes| bytes <= ceiling), "{bytes:?} of {ceiling}");
 }
 
 #[test]
