A leaving server promises nothing: a scenario; heaviest tenants without an option

That a server told to leave makes no promises had no test that failed without it, and the heaviest accounts came in an option that was never empty.

Scenario promises_and_the_drain, seen to fail with the guard taken out.

--- a/crates/fair/src/index.rs
+++ b/crates/fair/src/index.rs
@@ -258,7 +258,7 @@
     }
 
     /// Those that ask for most, the heaviest first.
-    pub fn heaviest(&self, now: Nanos, most: usize) -> Option<Vec<&Account>> {
+    pub fn heaviest(&self, now: Nanos, most: usize) -> Vec<&Account> {
         let mut all: Vec<&Account> = self.kept.iter().map(|kept| &kept.account).collect();
         let heavier = |a: &&Account, b: &&Account| b.asks_now(now).total_cmp(&a.asks_now(now));
         if all.len() > most {
@@ -266,6 +266,6 @@
             all.truncate(most);
         }
         all.sort_unstable_by(heavier);
-        Some(all)
+        all
     }
 }
--- a/crates/fair/src/lib.rs
+++ b/crates/fair/src/lib.rs
@@ -540,17 +540,15 @@
     pub fn heaviest(&mut self, now: Nanos, most: usize) -> Vec<Heavy> {
         let now = self.pass(now);
         let (present, level) = (self.level.fair_time(), self.level.cores());
-        self.index.heaviest(now, most).map_or_else(Vec::new, |accounts| {
-            let ahead = |finish: f64| ((finish - present) / level / 1e9).max(0.0);
-            let heavy = |account: &Account| Heavy {
-                name: account.shown(),
-                weight: account.weight,
-                asks: account.asks_now(now),
-                ahead: ahead(account.finish),
-                within: account.within,
-                surplus: account.surplus,
-            };
-            accounts.into_iter().map(heavy).collect()
-        })
+        let ahead = |finish: f64| ((finish - present) / level / 1e9).max(0.0);
+        let heavy = |account: &Account| Heavy {
+            name: account.shown(),
+            weight: account.weight,
+            asks: account.asks_now(now),
+            ahead: ahead(account.finish),
+            within: account.within,
+            surplus: account.surplus,
+        };
+        self.index.heaviest(now, most).into_iter().map(heavy).collect()
     }
 }
--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -6,13 +6,15 @@
 //! - `arrive NAME=VALUE ...` (ids count from 1), `finish ID|all|first [ok|error|cancelled]`,
 //!   `needs ID`, `called ID ok|error|unknown|never_ran [MS]`, `leave MS`, `gone ID`.
 //! - `expect WHAT [opN|ID] = | < | > NUMBER` counts results since the start or the last `forget`.
-//!   WHAT is run, throttle, give_up, answer, stop, call, remember, forget, reuse, unhealthy, advert (its
+//!   WHAT is run, throttle, promise,
+//!   give_up, answer, stop, call, remember, forget, reuse, unhealthy, advert (its
 //!   last value in hundredths), away (longest advice in ms), last (throttled ones that are not to be tried
 //!   elsewhere), patience (ms of the last call's time-out), idle (ms that idle connections may stay), most
 //!   (runs open at once).
 
 use meadowstream::{
-    Advert, Arrival, Below, Deployment, Effect, Ending, Gauges, Halting, Host, Nanos, Operation, brain::Brain,
+    Advert, Arrival, Below, Deployment, Effect, Ending, Gauges, Halting, Host, Nanos, Operation, Sender,
+    brain::Brain,
 };
 use std::collections::BTreeMap;
 use test_case::test_case;
@@ -62,6 +64,9 @@
         self.away = self.away.max(stay_away);
         self.answered("throttle", inv);
     }
+    fn promise(&mut self, inv: u64, _ticket: u64) {
+        self.note("promise", inv);
+    }
     fn give_up(&mut self, inv: u64) {
         self.answered("give_up", inv);
     }
@@ -165,6 +170,7 @@
             "marks" => site.retries_marked = value == "yes",
             "pauses" => site.halting = Halting::Pauses,
             "callers" => site.callers = number(value),
+            "fair" => site.fair = Some(meadowstream_fair::Settings::default()),
             "weight" => site.advert = Advert::Weight,
             "dependency" => site.below = Below::Shared { share: number(value), linger: 200 * MS },
             other => panic!("unknown site value {other}"),
@@ -236,7 +242,8 @@
                     id: self.operations.len() as u64 + 1,
                     operation: get("op", 0.0) as usize,
                     tenant: get("tenant", 0.0) as usize,
-                    sender: None,
+                    sender: given(words, "name")
+                        .map(|name| Sender { tenant: name.into(), ..Sender::default() }),
                     age: get("age", 0.0) as Nanos * MS,
                     patience: given(words, "patience").map(|text| number(text) as Nanos * MS),
                     repeats: given(words, "repeats").map(|text| number(text) as u64),
@@ -323,6 +330,7 @@
 #[test_case("regulator_steps_and_recovers")]
 #[test_case("ranks_are_cut_in_order")]
 #[test_case("drain")]
+#[test_case("promises_and_the_drain")]
 #[test_case("tokened_runs_once")]
 #[test_case("non_idempotent_calls")]
 #[test_case("memory")]
