Calls to a shared dependency keep to a mean; the running limit climbs only where it binds

The share below is 0.49 calls, a call takes some tens of ms. Cause and lines: brain.rs call_ended rested after each call for (took + linger) * 1.9, as if every call had been given up, and make_calls let one go at a time; no alarm was set for the end of the rest, so it lasted to the next tick. Two calls a second went out where six were needed. The skip of a call (make_calls) took any second call of an invocation for a failed one. learn_limit climbed whenever work waited and cores idled, also while calls were what held the work back. Change: call time is a budget that grows with the share and is gathered over part of the span of rule 4; a call keeps back its whole time-out and gives back what it did not use, one given up its linger. family-info.calls-over is read for it. The limit climbs only where it is what binds; reading takes whole places of it, rounded, as 0.3 of a place took one core of two. Calls count as failed anew for each call; a call given up teaches its time.

--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -19,9 +19,8 @@
 
 /// The control period: the span that the gauge looks back over.
 const PERIOD: Nanos = 500_000_000;
-/// Busy share of the cores to steer to, and under which they idle.
+/// Busy share of the cores to steer to.
 const REFERENCE: f64 = 0.9;
-const IDLE: f64 = 0.25;
 /// Usual time unread as a share of a run's, and the share of the shortest objective that is a flood.
 const UNREAD_USUAL: f64 = 0.5;
 const FLOODED: f64 = 0.25;
@@ -54,6 +53,8 @@
 const CALLS_DOWN: f64 = 0.93;
 /// A call that may be repeated is given up after this many usual call times, twice as many each time.
 const CALL_PATIENCE: f64 = 2.0;
+/// One that may not be repeated is given so much longer.
+const ONCE: f64 = 4.0;
 /// A call that was turned away is made again after this share of a run's usual time.
 const CALL_PAUSE: f64 = 0.25;
 /// Reading takes its place under the running limit, up to this share of the cores.
@@ -115,7 +116,9 @@
     retried: Decaying,
     calls_limit: f64,
     call_time: Decaying,
-    rest_below_until: Nanos,
+    /// Call time still allowed below, in ns; below none while what is out takes more than it may.
+    below_room: f64,
+    below_needed: f64,
     regulator: Regulator,
     period_start: Nanos,
     last_progress: Nanos,
@@ -124,7 +127,6 @@
     alarm_at: Nanos,
     advertised: Option<f64>,
     healthy: bool,
-    shut: bool,
 }
 
 /// A condition and an effect; `None` where the condition does not hold.
@@ -187,7 +189,8 @@
             retried: Decaying::new(PERIOD * 4, now),
             calls_limit: site.cores,
             call_time: Decaying::new(memory, now),
-            rest_below_until: 0,
+            below_room: f64::INFINITY,
+            below_needed: 0.0,
             regulator: Regulator { sum: 0.0, ratio: [0.0; 2], output: 0.0, fit, varied: 0.0 },
             period_start: now,
             last_progress: now,
@@ -196,14 +199,13 @@
             alarm_at: Nanos::MAX,
             advertised: None,
             healthy: true,
-            shut: false,
             values,
             site,
         }
     }
 
     pub fn arrived(&mut self, now: Nanos, arrival: Arrival, host: &mut dyn Host) {
-        self.now = now;
+        self.advance(now);
         self.unread_for.add(now, arrival.age as f64);
         self.retried.add(now, f64::from(arrival.marked_retry));
         let op = &self.site.operations[arrival.operation];
@@ -239,7 +241,7 @@
     }
 
     pub fn finished(&mut self, now: Nanos, id: u64, ending: Ending, host: &mut dyn Host) {
-        self.now = now;
+        self.advance(now);
         if let Some(i) = self.invs.find(id) {
             let ran = self.invs[i].state() != State::Reusing;
             self.enter(i, State::Held);
@@ -267,7 +269,7 @@
     }
 
     pub fn needs_call(&mut self, now: Nanos, id: u64, host: &mut dyn Host) {
-        self.now = now;
+        self.advance(now);
         if let Some(i) = self.invs.find(id) {
             self.enter(i, State::AtCall);
         }
@@ -275,15 +277,17 @@
     }
 
     pub fn call_ended(&mut self, now: Nanos, id: u64, ending: Ending, took: Nanos, host: &mut dyn Host) {
-        self.now = now;
-        if let Below::Shared { share, linger } = self.site.below {
-            // Rule 4 where the share is under one call: rest, so that the mean in its hands stays below it.
-            let rest = (took + linger) as f64 * (1.0 / (share * CROWD_SHARE) - 1.0).max(0.0);
-            self.rest_below_until = now + rest as Nanos;
-        }
+        self.advance(now);
         if let Some(i) = self.invs.find(id) {
+            // What a call kept back and did not use; one that was given up stays below for a while.
+            let linger = if ending == Ending::Unknown { 0 } else { self.linger() };
+            self.below_room += (self.invs[i].call_allowed + linger) as f64 - took as f64;
+            if ending == Ending::Unknown {
+                self.call_time.add(now, took as f64);
+            }
             if ending == Ending::Succeeded {
                 self.call_time.add(now, took as f64);
+                self.invs[i].calls = 0;
                 self.calls_limit +=
                     CALLS_UP * self.site.cores / self.calls_limit * f64::from(self.calls_full());
                 self.enter(i, State::OnCores);
@@ -302,14 +306,14 @@
     }
 
     pub fn told_to_leave(&mut self, now: Nanos, grace: Nanos, host: &mut dyn Host) {
-        self.now = now;
+        self.advance(now);
         self.leave = Some((now + self.site.drain_grace, now + grace));
         host.log("leaving");
         self.decide(host);
     }
 
     pub fn caller_gone(&mut self, now: Nanos, id: u64, host: &mut dyn Host) {
-        self.now = now;
+        self.advance(now);
         if let Some(i) = self.invs.find(id) {
             self.close(i);
         }
@@ -317,7 +321,7 @@
     }
 
     pub fn woken(&mut self, now: Nanos, token: u32, gauges: Gauges, host: &mut dyn Host) {
-        self.now = now;
+        self.advance(now);
         if token == TICK {
             host.wake(PERIOD, TICK);
             let running = self.running();
@@ -338,6 +342,31 @@
         self.decide(host);
     }
 
+    /// Time goes on, and with it grows what this server may take of a shared dependency's time.
+    fn advance(&mut self, now: Nanos) {
+        if let Below::Shared { share, .. } = self.site.below {
+            let gained = share * CROWD_SHARE * now.saturating_sub(self.now) as f64;
+            self.below_room = (self.below_room + gained).min(self.below_most());
+        }
+        self.now = now;
+    }
+
+    /// Call time that may be gathered: with what comes in over the span of rule 4 it stays within the share.
+    fn below_most(&self) -> f64 {
+        let Below::Shared { share, over, .. } = self.site.below else { return 0.0 };
+        share * over as f64 * (1.0 - CROWD_SHARE)
+    }
+
+    fn below_full_at(&self) -> Option<Nanos> {
+        let Below::Shared { share, .. } = self.site.below else { return None };
+        let rest = (self.below_needed - self.below_room) / (share * CROWD_SHARE);
+        (rest > 0.0).then(|| self.now + rest as Nanos + 1)
+    }
+
+    fn linger(&self) -> Nanos {
+        if let Below::Shared { linger, .. } = self.site.below { linger } else { 0 }
+    }
+
     fn decide(&mut self, host: &mut dyn Host) {
         self.tokens.age(self.now);
         while RULES.iter().any(|rule| rule(self, host).is_some()) {}
@@ -374,15 +403,12 @@
         }
     }
 
-    /// Idle connections stay where callers come back before they would close them, else go at once. But once
-    /// reading is in arrears, who finds none costs nothing: all stay until the cores idle. Guards against
-    /// full tables and storms of tries in fleets of many callers; harms where few callers come in turns.
+    /// Idle connections stay where callers come back before they would close them, else go at once. Guards
+    /// against full tables in fleets of many callers; harms where few callers come in turns.
     fn set_idle_limit(&mut self, host: &mut dyn Host) {
         let most = self.site.idle_max as f64;
         let returns = (self.retried.rate(self.now) * most / 1e9 / self.site.callers).min(1.0);
-        self.shut = self.arrears() > 0.0 || (self.shut && self.regulator.output > IDLE);
-        let stay = if self.shut { 1.0 } else { returns.powi(4) };
-        host.close_idle((most * stay).max(PERIOD as f64).min(most) as Nanos);
+        host.close_idle((most * returns.powi(4)).max(PERIOD as f64).min(most) as Nanos);
     }
 
     /// The error that the gauge hid, since it ends at 1: work that stands unread or in the hold, in
@@ -420,7 +446,7 @@
 
     /// The learned running limit: from the core count up to what the server survives.
     fn learn_limit(&mut self, busy: f64) {
-        let waiting = !self.invs.hold.is_empty();
+        let waiting = !self.invs.hold.is_empty() && self.running() + 1.0 > self.able.limit;
         let slowed = self.learned.iter().any(|l| l.work.mean() > l.base * SLOWED);
         if waiting && busy < REFERENCE {
             self.able.limit *= LIMIT_UP;
@@ -487,11 +513,8 @@
 
     /// Work already spent is worth finishing: calls are made while the answer is wanted.
     fn make_calls(&mut self, host: &mut dyn Host) -> Option<()> {
-        let room = match self.site.below {
-            Below::Shared { share, .. } => (share * CROWD_SHARE).max(1.0),
-            _ => self.calls_limit,
-        };
-        if self.count(&[State::Calling]) + 1.0 > room || self.now < self.rest_below_until {
+        let shared = matches!(self.site.below, Below::Shared { .. });
+        if !shared && self.count(&[State::Calling]) + 1.0 > self.calls_limit {
             return None;
         }
         let ready =
@@ -503,14 +526,26 @@
             host.skip_call(self.invs[i].id);
             return Some(());
         }
-        self.enter(i, State::Calling);
-        self.invs[i].calls += 1;
         let inv = &self.invs[i];
         let left = self.last_call_for(inv).saturating_sub(self.now).max(1);
-        let patience =
-            self.call_time.mean() * inv.size.max(1.0) * CALL_PATIENCE * f64::from(1 << inv.calls.min(8));
+        let usual = self.call_time.mean() * inv.size.max(1.0) * CALL_PATIENCE;
+        let patience = usual * f64::from(2 << inv.calls.min(8));
         let repeatable = self.is_idempotent(inv) && patience > 0.0;
-        host.call(inv.id, if repeatable { left.min(patience as Nanos) } else { left });
+        let mut allowed = if repeatable { left.min(patience as Nanos) } else { left };
+        if shared {
+            let (most, linger) = (self.below_most(), self.linger() as f64);
+            let wish = (allowed as f64).min(if patience > 0.0 { patience * ONCE } else { f64::INFINITY });
+            self.below_needed = (wish + linger).min(most);
+            if self.below_room < self.below_needed {
+                return None;
+            }
+            allowed = wish.min((self.below_room - linger).max(usual).max(1.0)) as Nanos;
+            self.below_room -= allowed as f64 + linger;
+        }
+        self.enter(i, State::Calling);
+        self.invs[i].calls += 1;
+        self.invs[i].call_allowed = allowed;
+        host.call(self.invs[i].id, allowed);
         Some(())
     }
 
@@ -523,7 +558,7 @@
         }
         let open = self.count(&[State::OnCores, State::AtCall, State::Calling]);
         let share = if self.site.called_by_own { 0.0 } else { READING_SHARE };
-        let limit = self.able.limit - self.reading.mean().min(self.site.cores * share);
+        let limit = (self.able.limit - self.reading.mean().min(self.site.cores * share)).round();
         if self.running() + 1.0 > limit.min(self.crowd()).max(1.0) || open + 1.0 > self.crowd().max(1.0) {
             return self.pause_for(self.invs[i].rank, host);
         }
@@ -582,6 +617,8 @@
             let again = inv.state() == State::AtCall && inv.retry_call_at > self.now;
             self.last_call_for(inv).min(if again { inv.retry_call_at } else { Nanos::MAX })
         });
+        let refill = (self.count(&[State::AtCall]) > 0.0).then(|| self.below_full_at()).flatten();
+        let active = active.chain(refill);
         let next = active.chain(self.invs.hold.next_due(self.last_chance())).min();
         let next = next.filter(|next| *next < self.alarm_at)?;
         self.alarm_at = next;
--- a/crates/meadowstream/src/invs.rs
+++ b/crates/meadowstream/src/invs.rs
@@ -40,7 +40,9 @@
     pub begun: Nanos,
     pub on_cores: Nanos,
     pub retry_call_at: Nanos,
+    /// Tries of the call it stands at, and how long the last may take.
     pub calls: u32,
+    pub call_allowed: Nanos,
     pub ran: bool,
     pub answered: bool,
     pub stopped: bool,
--- a/crates/meadowstream/src/lib.rs
+++ b/crates/meadowstream/src/lib.rs
@@ -112,10 +112,11 @@
     Nothing,
     Tier,
     /// One dependency for all servers: the mean number of calls that is this server's share, and how
-    /// long an abandoned call lingers there.
+    /// long an abandoned call lingers there, and the span over which the mean is taken.
     Shared {
         share: f64,
         linger: Nanos,
+        over: Nanos,
     },
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -148,6 +148,7 @@
         "one_for_all" => Below::Shared {
             share: pairs.number("family-info.dep-share")?,
             linger: pairs.span_or("family-info.lingers", 0)?,
+            over: pairs.span("family-info.calls-over")?,
         },
         other => bail!("setting family-info.below: unknown choice {other:?}"),
     };
