No run pauses for a worthier one; idle connections of passing callers go at once

Cause and lines: pause_for in brain.rs takes a run off two cores for each worthier arrival; with runs of a third of a second the paused ones miss their objective and their work is lost.

--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -19,6 +19,8 @@
 
 /// The control period: the span that the gauge looks back over.
 const PERIOD: Nanos = 500_000_000;
+/// Connections of callers that do not come back stay for this share of the period.
+const PASSING: f64 = 0.02;
 /// Busy share of the cores to steer to.
 const REFERENCE: f64 = 0.9;
 /// Usual time unread as a share of a run's, and the share of the shortest objective that is a flood.
@@ -408,7 +410,7 @@
     fn set_idle_limit(&mut self, host: &mut dyn Host) {
         let most = self.site.idle_max as f64;
         let returns = (self.retried.rate(self.now) * most / 1e9 / self.site.callers).min(1.0);
-        host.close_idle((most * returns.powi(4)).max(PERIOD as f64).min(most) as Nanos);
+        host.close_idle((most * returns.powi(4)).max(PERIOD as f64 * PASSING).min(most) as Nanos);
     }
 
     /// The error that the gauge hid, since it ends at 1: work that stands unread or in the hold, in
@@ -560,11 +562,10 @@
         let share = if self.site.called_by_own { 0.0 } else { READING_SHARE };
         let limit = (self.able.limit - self.reading.mean().min(self.site.cores * share)).round();
         if self.running() + 1.0 > limit.min(self.crowd()).max(1.0) || open + 1.0 > self.crowd().max(1.0) {
-            return self.pause_for(self.invs[i].rank, host);
+            return None;
         }
         let inv = &mut self.invs[i];
-        // What was paused goes on: the pause is no part of its run.
-        inv.begun = if inv.ran { inv.begun + (self.now - inv.since) } else { self.now };
+        inv.begun = self.now;
         inv.ran = true;
         host.run(inv.id);
         if let (Some(fair), Some(seat)) = (&mut self.fair, &inv.seat) {
@@ -574,16 +575,6 @@
         Some(())
     }
 
-    /// A worthier one finds the cores full: the least worthy run is paused, one at a time, where that loses
-    /// no work. Guards against floods of one tenant or of cheap operations; harms where pausing is dear.
-    fn pause_for(&mut self, rank: usize, host: &mut dyn Host) -> Option<()> {
-        let lesser = |inv: &Inv| inv.state() == State::OnCores && inv.rank < rank && self.is_idempotent(inv);
-        let pausing = self.invs.first_active(|inv| inv.state() == State::OnCores && inv.stopped);
-        let least = self.invs.active().filter(|(_, inv)| lesser(inv)).min_by_key(|(_, inv)| inv.rank)?.0;
-        let i = Some(least).filter(|_| pausing.is_none() && self.site.halting == Halting::Pauses)?;
-        self.stop(i, host)
-    }
-
     fn stop(&mut self, i: usize, host: &mut dyn Host) -> Option<()> {
         self.invs[i].stopped = true;
         host.stop(self.invs[i].id);
