While calls are full, what makes none runs and is let in; calls go out by rank

Cause and lines: run_next in brain.rs began nothing while calls_full, whatever it calls; refuse_in_the_window refused all of basic on account of calls; make_calls took the oldest call, not the worthiest. family-info.class-calls was not read. Change: it is read, an operation that makes no call is let in where calls and not the cores push the regulator, and runs while calls are full; the worthiest call goes first. The LQ loop is as it was. Scenario calls_full.

--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -116,6 +116,11 @@
         self.lines.iter().rev().find_map(Line::first)
     }
 
+    /// What runs next among these operations; walks what runs before it.
+    pub fn next_of(&self, operation: impl Fn(usize) -> bool) -> Option<&Entry> {
+        self.iter().find(|entry| operation(entry.operation))
+    }
+
     /// The earliest of what is wanted, by operation; `last_chance` turns it into when it must be given up.
     pub fn next_due(&self, last_chance: impl Fn(usize, Nanos) -> Nanos) -> Option<Nanos> {
         let firsts = self.wanted.iter().enumerate();
--- a/crates/meadowstream/benches/arrival.rs
+++ b/crates/meadowstream/benches/arrival.rs
@@ -38,6 +38,7 @@
         billed_value,
         late_value: 0.0,
         without_call_value: 0.0,
+        calls: true,
     };
     Deployment {
         operations: vec![operation(1.0), operation(2.0)],
--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -129,6 +129,7 @@
     alarm_at: Nanos,
     advertised: Option<f64>,
     healthy: bool,
+    spare: bool,
 }
 
 /// A condition and an effect; `None` where the condition does not hold.
@@ -201,6 +202,7 @@
             alarm_at: Nanos::MAX,
             advertised: None,
             healthy: true,
+            spare: false,
             values,
             site,
         }
@@ -379,6 +381,7 @@
     /// Once a period: from measured utilisation to the refusal ratios of basic and premium.
     fn regulate(&mut self, busy: f64, host: &mut dyn Host) {
         let output = busy.max(f64::from(self.calls_full()));
+        self.spare = output > busy && busy < REFERENCE;
         let backlog = self.backlog();
         let r = &mut self.regulator;
         let error = output - REFERENCE;
@@ -480,7 +483,9 @@
         let i = self.invs.judge_next()?;
         let window = (self.refusal_ratio(self.invs[i].rank) * PERIOD as f64) as Nanos;
         let passed = self.now - self.period_start;
-        if passed < window {
+        // Where calls bind and the cores do not, what makes none is let in.
+        let spared = self.spare && !self.site.operations[self.invs[i].operation].calls;
+        if passed < window && !spared {
             let alone = self.is_flooded() || self.sick() > 0.0;
             let advice = if alone { self.site.stay_away_max } else { window - passed };
             self.turn_away(i, advice, 0, host);
@@ -521,7 +526,7 @@
         }
         let ready =
             |inv: &Inv| inv.state() == State::AtCall && !inv.answered && self.now >= inv.retry_call_at;
-        let i = self.invs.first_active(ready)?;
+        let i = self.invs.active().filter(|(_, inv)| ready(inv)).rev().max_by_key(|(_, inv)| inv.rank)?.0;
         // One that failed is left out where the answer keeps some value without it.
         if self.invs[i].calls > 0 && self.site.operations[self.invs[i].operation].without_call_value > 0.0 {
             self.enter(i, State::OnCores);
@@ -552,10 +557,13 @@
     }
 
     fn run_next(&mut self, host: &mut dyn Host) -> Option<()> {
-        let i = self.invs.hold.next()?.key;
+        let spared = |operation: usize| !self.site.operations[operation].calls;
+        let full = self.calls_full();
+        let next = if full { self.invs.hold.next_of(spared) } else { self.invs.hold.next() };
+        let i = next?.key;
         let inv = &self.invs[i];
         let more = inv.held_kb * self.site.run_memory - self.invs.memory_of(inv);
-        if self.calls_full() || self.memory_needed() + more > self.site.memory_kb * MEMORY_SHARE {
+        if self.memory_needed() + more > self.site.memory_kb * MEMORY_SHARE {
             return None;
         }
         let open = self.count(&[State::OnCores, State::AtCall, State::Calling]);
--- a/crates/meadowstream/src/invs.rs
+++ b/crates/meadowstream/src/invs.rs
@@ -190,7 +190,7 @@
     }
 
     /// Those that are not held, in the order they came.
-    pub fn active(&self) -> impl Iterator<Item = (usize, &Inv)> {
+    pub fn active(&self) -> impl DoubleEndedIterator<Item = (usize, &Inv)> {
         self.active.values().map(|i| (*i, &self.all[*i]))
     }
 
--- a/crates/meadowstream/src/lib.rs
+++ b/crates/meadowstream/src/lib.rs
@@ -89,6 +89,8 @@
     pub late_value: f64,
     /// Share of the value an answer keeps when a call was left out.
     pub without_call_value: f64,
+    /// Whether its runs may call what lies below.
+    pub calls: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -194,6 +194,7 @@
             billed_value: get("value", 1.0),
             late_value: get("late", 0.0),
             without_call_value: get("without", 0.0),
+            calls: given(words, "calls") != Some("no"),
         });
     }
 
@@ -349,6 +350,7 @@
 #[test_case("reading_under_the_limit")]
 #[test_case("shared_dependency")]
 #[test_case("call_left_out")]
+#[test_case("calls_full")]
 #[test_case("idle_connections")]
 #[test_case("idle_connections_many")]
 #[test_case("large_by_hint")]
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -108,6 +108,7 @@
 
 fn decode(pairs: &Pairs) -> Result<Read> {
     let without_call = pairs.list("family-info.degraded-worth");
+    let calls = pairs.list("family-info.class-calls");
     let (mut operations, mut operation_names) = (Vec::new(), Vec::new());
     for i in 0..pairs.get::<usize>("grades.count")? {
         let at = |field: &str| format!("grades.{i}.{field}");
@@ -134,6 +135,7 @@
             billed_value: pairs.number(&at("worth"))?,
             late_value: pairs.get_or(&at("late-worth"), 0.0)?,
             without_call_value,
+            calls: calls.get(i).is_none_or(|text| *text == "true"),
         });
     }
     if operations.is_empty() {
