Tokened runs outlive their caller; a call without room is left out; connections by how often callers return

Check: the fate of each forerunner written down: 1438 had lost their caller while on the cores and were stopped. Cause: set_idle_limit keeps connections where arrivals make up one return a caller, and a storm of tries does that. Scenarios tokened_caller_gone, call_left_out_full, idle_connections_many.

--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -19,10 +19,13 @@
 
 /// The control period: the span that the gauge looks back over.
 const PERIOD: Nanos = 500_000_000;
-/// Connections of callers that do not come back stay for this share of the period.
+/// Connections stay where a caller comes back this often before it would close its own, else for a share of
+/// the period.
+const RETURNS: f64 = 4.0;
 const PASSING: f64 = 0.02;
-/// Busy share of the cores to steer to.
+/// Busy share of the cores to steer to, and under which they idle.
 const REFERENCE: f64 = 0.9;
+const IDLE: f64 = 0.25;
 /// Usual time unread as a share of a run's, and the share of the shortest objective that is a flood.
 const UNREAD_USUAL: f64 = 0.5;
 const FLOODED: f64 = 0.25;
@@ -129,6 +132,7 @@
     alarm_at: Nanos,
     advertised: Option<f64>,
     healthy: bool,
+    shut: bool,
     spare: bool,
 }
 
@@ -202,6 +206,7 @@
             alarm_at: Nanos::MAX,
             advertised: None,
             healthy: true,
+            shut: false,
             spare: false,
             values,
             site,
@@ -408,12 +413,16 @@
         }
     }
 
-    /// Idle connections stay where callers come back before they would close them, else go at once. Guards
-    /// against full tables in fleets of many callers; harms where few callers come in turns.
+    /// Idle connections stay where callers come back often enough for that to be worth their part of the
+    /// table, else go at once. But once reading is in arrears, who finds none costs nothing: all stay until
+    /// the cores idle. Guards against full tables and storms of tries in fleets of many callers; harms where
+    /// few callers come in turns.
     fn set_idle_limit(&mut self, host: &mut dyn Host) {
         let most = self.site.idle_max as f64;
-        let returns = (self.retried.rate(self.now) * most / 1e9 / self.site.callers).min(1.0);
-        host.close_idle((most * returns.powi(4)).max(PERIOD as f64 * PASSING).min(most) as Nanos);
+        let returns = self.retried.rate(self.now) * most / 1e9 / self.site.callers / RETURNS;
+        self.shut = self.arrears() > 0.0 || (self.shut && self.regulator.output > IDLE);
+        let stay = if self.shut { 1.0 } else { returns.min(1.0).powi(4) };
+        host.close_idle((most * stay).max(PERIOD as f64 * PASSING).min(most) as Nanos);
     }
 
     /// The error that the gauge hid, since it ends at 1: work that stands unread or in the hold, in
@@ -471,9 +480,12 @@
         self.answer(i, PERIOD, host)
     }
 
-    /// Work that nobody can use any more leaves the cores, where that can be done.
+    /// Work that nobody can use any more leaves the cores, where that can be done. A tokened run is of use
+    /// to its repeats, which may not run: stopped, each of them would be errored for the rest of the window.
     fn stop_what_nobody_wants(&mut self, host: &mut dyn Host) -> Option<()> {
-        let useless = |inv: &Inv| inv.answered && !inv.stopped && inv.state() == State::OnCores;
+        let tokened = |inv: &Inv| self.site.operations[inv.operation].effect == Effect::Tokened;
+        let useless =
+            |inv: &Inv| inv.answered && !inv.stopped && inv.state() == State::OnCores && !tokened(inv);
         let i = self.invs.first_active(useless).filter(|_| self.site.halting != Halting::Impossible)?;
         self.stop(i, host)
     }
@@ -527,11 +539,9 @@
         let ready =
             |inv: &Inv| inv.state() == State::AtCall && !inv.answered && self.now >= inv.retry_call_at;
         let i = self.invs.active().filter(|(_, inv)| ready(inv)).rev().max_by_key(|(_, inv)| inv.rank)?.0;
-        // One that failed is left out where the answer keeps some value without it.
-        if self.invs[i].calls > 0 && self.site.operations[self.invs[i].operation].without_call_value > 0.0 {
-            self.enter(i, State::OnCores);
-            host.skip_call(self.invs[i].id);
-            return Some(());
+        let partly = self.site.operations[self.invs[i].operation].without_call_value > 0.0;
+        if partly && self.invs[i].calls > 0 {
+            return self.leave_out(i, host);
         }
         let inv = &self.invs[i];
         let left = self.last_call_for(inv).saturating_sub(self.now).max(1);
@@ -544,7 +554,7 @@
             let wish = (allowed as f64).min(if patience > 0.0 { patience * ONCE } else { f64::INFINITY });
             self.below_needed = (wish + linger).min(most);
             if self.below_room < self.below_needed {
-                return None;
+                return if partly { self.leave_out(i, host) } else { None };
             }
             allowed = wish.min((self.below_room - linger).max(usual).max(1.0)) as Nanos;
             self.below_room -= allowed as f64 + linger;
@@ -556,6 +566,13 @@
         Some(())
     }
 
+    /// A call that failed or has no room is left out where the answer keeps some value without it.
+    fn leave_out(&mut self, i: usize, host: &mut dyn Host) -> Option<()> {
+        self.enter(i, State::OnCores);
+        host.skip_call(self.invs[i].id);
+        Some(())
+    }
+
     fn run_next(&mut self, host: &mut dyn Host) -> Option<()> {
         let spared = |operation: usize| !self.site.operations[operation].calls;
         let full = self.calls_full();
--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -351,6 +351,8 @@
 #[test_case("shared_dependency")]
 #[test_case("call_left_out")]
 #[test_case("calls_full")]
+#[test_case("call_left_out_full")]
+#[test_case("tokened_caller_gone")]
 #[test_case("idle_connections")]
 #[test_case("idle_connections_many")]
 #[test_case("large_by_hint")]
