The server takes both shapes: tokens, calls left out and a shared dependency, by its settings alone

The options file names the field of a call that carries a token and what a run hears whose call is left out; crates/server/src/memory/repeats.rs remembers tokens and results in bounded memory, a part of limits.memory_mb: a repeat is answered from its forerunner's result or waits for it, what cannot be remembered is refused at once, another body with the same token is errored. Without options all is as before. A start refuses mixed shapes and names the key (scenario mixed_shapes): a token field without tokened operations and the reverse, dep-share with a tier, a shared dependency without share or span, a floor with one rank, tenants or gone callers that the wire cannot tell. A share so small that a call's linger is over what may be gathered left the first call 1 ns: found by the loopback scenario shared_shape, now it gets three tenths of it. Seen while testing: calls after failed runs were throttled, as should be (a quarter of runs failing); the scenario's order was at fault, not the server.

--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -324,6 +324,7 @@
     pub fn caller_gone(&mut self, now: Nanos, id: u64, host: &mut dyn Host) {
         self.advance(now);
         if let Some(i) = self.invs.find(id) {
+            self.forget_unless_run(i, host);
             self.close(i);
         }
         self.decide(host);
@@ -556,7 +557,8 @@
             if self.below_room < self.below_needed {
                 return if partly { self.leave_out(i, host) } else { None };
             }
-            allowed = wish.min((self.below_room - linger).max(usual).max(1.0)) as Nanos;
+            allowed =
+                wish.min((self.below_room - linger).max(usual).max(most * (1.0 - CROWD_SHARE))) as Nanos;
             self.below_room -= allowed as f64 + linger;
         }
         self.enter(i, State::Calling);
@@ -750,12 +752,19 @@
         } else {
             host.give_up(inv.id);
         }
-        if effect == Effect::Tokened && !inv.ran && inv.repeats.is_none() {
+        self.forget_unless_run(i, host);
+        self.close(i);
+        Some(())
+    }
+
+    /// What is over and never ran must not stand in the way of a repeat, which would be errored for it.
+    fn forget_unless_run(&mut self, i: usize, host: &mut dyn Host) {
+        let inv = &self.invs[i];
+        let tokened = self.site.operations[inv.operation].effect == Effect::Tokened;
+        if tokened && !inv.ran && inv.repeats.is_none() && !inv.answered {
             host.forget(inv.id);
             self.tokens.forget(inv.id);
         }
-        self.close(i);
-        Some(())
     }
 
     /// One that never ran hears when its tenant has room, and has a place then. Not from a server that only
--- a/crates/options/src/lib.rs
+++ b/crates/options/src/lib.rs
@@ -48,9 +48,20 @@
     pub fair: Settings,
 }
 
+/// Where a tokened call carries its token, and how much is remembered of such calls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tokens {
+    pub field: String,
+    pub entries: usize,
+    pub result_bytes: usize,
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Options {
     pub tenants: Option<Tenants>,
+    pub tokens: Option<Tokens>,
+    /// What a run hears in place of a reply to its call, where the call is left out.
+    pub left_out: Option<String>,
 }
 
 /// An element, with all its attributes known.
@@ -148,28 +159,53 @@
             root.at()
         );
         let mut options = Self::default();
-        for node in root.children(&["tenants"], &[])? {
-            options.tenants = Some(tenants(&document, node)?);
+        for node in root.children(&["tenants", "tokens", "calls"], &[])? {
+            match node.tag_name().name() {
+                "tenants" => options.tenants = Some(tenants(&document, node)?),
+                "tokens" => options.tokens = Some(tokens(&document, node)?),
+                _ => {
+                    let calls = Element::new(&document, node, &["left-out"])?;
+                    options.left_out = calls.text("left-out").map(str::to_string);
+                }
+            }
+        }
+        if let (Some(Tenants { by: By::Field(tenant), .. }), Some(Tokens { field, .. })) =
+            (&options.tenants, &options.tokens)
+        {
+            ensure!(tenant != field, "<tokens>: field: {field:?} names tenants already");
         }
         Ok(options)
     }
 }
 
+/// A field of a call that means nothing else.
+fn free_field<'a>(element: &Element<'a, '_>, what: &str) -> Result<&'a str> {
+    let field = element.text("field").with_context(|| format!("{}: field is missing", element.at()))?;
+    let plain = field.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'_' || b == b'-');
+    ensure!(
+        plain && !field.is_empty() && field.len() <= FIELD_MAX && !TAKEN.contains(&field),
+        "{}: field: {field:?} cannot name {what}",
+        element.at()
+    );
+    Ok(field)
+}
+
+fn tokens<'d>(document: &Document<'d>, node: Node<'_, 'd>) -> Result<Tokens> {
+    let element = Element::new(document, node, &["field", "entries", "results-kb"])?;
+    Ok(Tokens {
+        field: free_field(&element, "a token")?.to_string(),
+        entries: element.whole("entries", 4096, 16, 1 << 20)?,
+        result_bytes: element.whole("results-kb", 1024, 4, 1 << 20)? << 10,
+    })
+}
+
 fn tenants<'d>(document: &Document<'d>, node: Node<'_, 'd>) -> Result<Tenants> {
     let known = ["by", "field", "origin", "default-weight", "surplus-value", "shown"];
     let element = Element::new(document, node, &known)?;
     let by = match (element.text("by"), element.text("field")) {
         (Some("sender"), None) => By::Sender,
         (Some("peer"), None) => By::Peer,
-        (Some("field"), Some(field)) => {
-            let plain = field.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'_' || b == b'-');
-            ensure!(
-                plain && !field.is_empty() && field.len() <= FIELD_MAX && !TAKEN.contains(&field),
-                "{}: field: {field:?} cannot name a tenant",
-                element.at()
-            );
-            By::Field(field.to_string())
-        }
+        (Some("field"), Some(_)) => By::Field(free_field(&element, "a tenant")?.to_string()),
         (Some("field"), None) => bail!("{}: by=\"field\" needs a field", element.at()),
         (Some(_), Some(_)) => bail!("{}: field goes with by=\"field\" alone", element.at()),
         (Some(other), None) => bail!("{}: by: unknown choice {other:?}", element.at()),
--- a/crates/options/tests/options.rs
+++ b/crates/options/tests/options.rs
@@ -23,6 +23,12 @@
 }
 
 #[test_case("<tenants/>", "line 2, <tenants>: by is missing")]
+#[test_case("<tokens/>", "line 2, <tokens>: field is missing")]
+#[test_case("<tokens field=\"since\"/>", "\"since\" cannot name a token")]
+#[test_case("<tokens field=\"t\" entries=\"15\"/>", "entries: 15 is not within")]
+#[test_case("<tokens field=\"t\"/><tokens field=\"u\"/>", "given twice")]
+#[test_case("<tenants by=\"field\" field=\"t\"/><tokens field=\"t\"/>", "names tenants already")]
+#[test_case("<calls leftout=\"x\"/>", "unknown attribute \"leftout\"")]
 #[test_case("<tenants by=\"name\"/>", "by: unknown choice \"name\"")]
 #[test_case("<tenants by=\"field\"/>", "needs a field")]
 #[test_case("<tenants by=\"field\" field=\"ref\"/>", "\"ref\" cannot name a tenant")]
@@ -83,7 +89,8 @@
     let known = ["by", "field", "origin", "default-weight", "surplus-value", "shown", "name", "weight"];
     let ceilings = ["accounts", "cells", "origins", "promises", "names-per-origin"];
     let shares = ["at-once-ms", "probation-ms", "late-ms"];
+    let others = ["entries", "results-kb", "left-out"];
     let read: BTreeSet<String> =
-        known.iter().chain(&ceilings).chain(&shares).map(|name| name.to_string()).collect();
+        known.iter().chain(&ceilings).chain(&shares).chain(&others).map(|name| name.to_string()).collect();
     assert_eq!(named("attribute"), read);
 }
--- a/crates/server/src/lifecycle/configuration.rs
+++ b/crates/server/src/lifecycle/configuration.rs
@@ -1,7 +1,8 @@
 //! What the server is told at its start, from one JSON file, and what of it a reload changes.
 
+use crate::memory::repeats::ENTRY_BYTES;
 use anyhow::{Context, Result, anyhow, bail, ensure};
-use meadowstream::{Effect, Halting};
+use meadowstream::{Advert, Below, Effect};
 use meadowstream_options::Options;
 use meadowstream_settings::Read;
 use serde_json::Value;
@@ -9,6 +10,9 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+/// What is remembered of tokened calls takes this part of the memory at most, like what connections hold.
+const TOKENS_PART: usize = 4;
+
 /// Where the other parties are.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -50,6 +54,8 @@
             }
             (read.options, read.options_path) = (RefCell::new(options), Some(path.to_path_buf()));
         }
+        read.refuse_what_the_wire_cannot_carry()?;
+        read.refuse_mixed_shapes()?;
         Ok(read)
     }
 
@@ -66,6 +72,11 @@
             "records: a call more or less takes a restart"
         );
         self.refuse_what_takes_a_restart(&new.options.borrow())?;
+        let same = {
+            let (before, after) = (self.options.borrow(), new.options.borrow());
+            before.tokens == after.tokens && before.left_out == after.left_out
+        };
+        ensure!(same, "options: <tokens>, <calls>: others take a restart");
         self.addresses.set(new.addresses.get());
         self.options.swap(&new.options);
         Ok(())
@@ -118,32 +129,62 @@
             options: RefCell::default(),
             options_path: None,
         };
-        configuration.refuse_what_the_wire_cannot_carry()?;
         Ok(configuration)
     }
 
-    /// Rather than half do it: the protocol has no token, no tenant, no pausing and no leaving out.
+    /// Rather than half do it: what the protocol does not say must be named in the options, or be absent.
     fn refuse_what_the_wire_cannot_carry(&self) -> Result<()> {
-        let site = &self.settings.deployment;
+        let (site, options) = (&self.settings.deployment, self.options.borrow());
         for (i, op) in site.operations.iter().enumerate() {
-            ensure!(op.effect != Effect::Tokened, "settings: grades.{i}.effect: tokens are not on this wire");
-            let without = op.without_call_value;
+            let named = op.effect != Effect::Tokened || options.tokens.is_some();
+            ensure!(
+                named,
+                "settings: grades.{i}.effect: no field carries the token; <tokens field=...> in the options names one"
+            );
+            let left_out = op.without_call_value <= 0.0 || options.left_out.is_some();
             ensure!(
-                without <= 0.0,
-                "settings: family-info.degraded-worth: no call can be left out on this wire"
+                left_out,
+                "settings: family-info.degraded-worth: <calls left-out=...> in the options is to say what a run hears"
             );
         }
-        ensure!(
-            site.halting != Halting::Pauses,
-            "settings: family-info.preemption: pausing is not on this wire"
-        );
-        ensure!(site.tenant_allowance.is_empty(), "settings: orgs: tenants are not on this wire");
+        let apart = site.tenant_allowance.is_empty() || options.tenants.is_some();
+        ensure!(apart, "settings: orgs: <tenants ...> in the options is to tell them apart");
+        ensure!(!self.settings.tells_gone, "settings: family-info.tells-gone: the wire does not tell");
         ensure!(
             self.settings.share_reads_for == 0,
             "settings: family-info.share-for: reads are not shared on this wire"
         );
-        if self.addresses.get().records.is_none() && site.below != meadowstream::Below::Nothing {
-            bail!("records is missing, though settings: family-info.below names a tier");
+        if self.addresses.get().records.is_none() && site.below != Below::Nothing {
+            bail!("records is missing, though settings: family-info.below names a tier or a dependency");
+        }
+        Ok(())
+    }
+
+    /// Settings of two shapes in one file: one of them was forgotten in a move, and either would go wrong.
+    fn refuse_mixed_shapes(&self) -> Result<()> {
+        let (site, options) = (&self.settings.deployment, self.options.borrow());
+        let tokened = site.operations.iter().any(|op| op.effect == Effect::Tokened);
+        ensure!(tokened || options.tokens.is_none(), "options: <tokens>: no operation is by_key");
+        let partly = site.operations.iter().any(|op| op.without_call_value > 0.0);
+        ensure!(partly || options.left_out.is_none(), "options: <calls>: no operation has a degraded-worth");
+        let shared = matches!(site.below, Below::Shared { .. });
+        ensure!(
+            shared || self.settings.dependency_share <= 0.0,
+            "settings: family-info.dep-share: given, though family-info.below names no one_for_all"
+        );
+        let values = site.operations.iter().map(|op| op.billed_value.to_bits());
+        let ranks = values.collect::<std::collections::BTreeSet<_>>().len();
+        ensure!(
+            site.advert != Advert::Floor || ranks > 1,
+            "settings: family-info.say: a floor where all operations have one worth"
+        );
+        if let Some(tokens) = &options.tokens {
+            let bytes = tokens.entries * ENTRY_BYTES + tokens.result_bytes;
+            let most = (self.memory_mb << 20) as usize / TOKENS_PART;
+            ensure!(
+                bytes <= most,
+                "options: <tokens>: entries and results-kb take {bytes} bytes, {most} of limits.memory_mb at most"
+            );
         }
         Ok(())
     }
--- a/crates/server/src/lifecycle/tasks/connection.rs
+++ b/crates/server/src/lifecycle/tasks/connection.rs
@@ -3,11 +3,12 @@
 use super::{Input, Server};
 use crate::memory::connections::{Connection, OPEN_MAX, Told};
 use crate::memory::descriptors::Place;
+use crate::memory::repeats::TOKEN_MAX;
 use crate::wire::{Parsed, resp, ring::Ring, rpc};
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::future;
-use meadowstream::{Nanos, Sender};
+use meadowstream::{Effect, Nanos, Sender};
 use meadowstream_options::{By, Origin};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, TcpStream};
@@ -277,6 +278,10 @@
                 if self.server.clock.age(call.since).unsigned_abs() > self.longest_wait() {
                     return bad(call.tag, "since is out of range");
                 }
+                let token = match self.token(operation, &call) {
+                    Ok(token) => token,
+                    Err(why) => return bad(call.tag, why),
+                };
                 counters.invocations.add();
                 let arrived = Input::Arrived {
                     connection: self.connection.clone(),
@@ -286,6 +291,7 @@
                     since: call.since,
                     held_kb: call.held_kb,
                     body: call.body.to_vec(),
+                    token,
                     sender: self.sender(&call),
                 };
                 Taken::Input(call.tag, arrived)
@@ -294,6 +300,18 @@
     }
 
     /// Who sends, as the options say that tenants are known; one that does not name itself has no name.
+    /// The token of a tokened operation, without which it cannot be told from a repeat.
+    fn token(&self, operation: usize, call: &rpc::Call) -> Result<Option<Vec<u8>>, &'static str> {
+        let configuration = &self.server.configuration;
+        if configuration.settings.deployment.operations[operation].effect != Effect::Tokened {
+            return Ok(None);
+        }
+        let options = configuration.options.borrow();
+        let field = options.tokens.as_ref().and_then(|tokens| call.field(&tokens.field));
+        let token = field.filter(|token| !token.is_empty()).ok_or("a tokened call without its token")?;
+        if token.len() > TOKEN_MAX { Err("a token is too long") } else { Ok(Some(token.into())) }
+    }
+
     fn sender(&self, call: &rpc::Call) -> Option<Sender> {
         let options = self.server.configuration.options.borrow();
         let tenants = options.tenants.as_ref()?;
--- a/crates/server/src/lifecycle/tasks/decisions.rs
+++ b/crates/server/src/lifecycle/tasks/decisions.rs
@@ -4,6 +4,7 @@
 use super::{Input, Server};
 use crate::memory::connections::Told;
 use crate::memory::invocations::{Invocation, Invocations, Sent};
+use crate::memory::repeats::{Echo, Found, Repeats};
 use crate::wire::interpreter::{self, Notice};
 use crate::wire::resp::WORD_MAX;
 use crate::wire::rpc::Answer;
@@ -12,8 +13,10 @@
 use futures_lite::future;
 use meadowstream::brain::{Brain, TICK};
 use meadowstream::{Arrival, Ending, Gauges, Host, Nanos, Sender};
+use siphasher::sip::SipHasher13;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::hash::Hasher;
 use std::rc::Rc;
 use tracing::{debug, info, warn};
 
@@ -51,11 +54,21 @@
     promised: Option<(u64, u64)>,
     /// Ended here though the module did not mean to; it is told next.
     cut_off: Vec<u64>,
+    repeats: Repeats,
+    /// Repeats that were answered from their forerunner, for the module to hear.
+    settled: Vec<(u64, Ending)>,
 }
 
 impl Decisions {
     pub fn new(server: Rc<Server>) -> Self {
+        let configuration = &server.configuration;
+        let operations = &configuration.settings.deployment.operations;
+        let unread = operations.iter().map(|op| op.client_timeout).max().unwrap_or(0);
+        let (entries, bytes) =
+            configuration.options.borrow().tokens.as_ref().map_or((0, 0), |t| (t.entries, t.result_bytes));
         let hands = Hands {
+            repeats: Repeats::new(entries, bytes, unread),
+            settled: Vec::new(),
             server,
             invocations: Invocations::default(),
             commands: None,
@@ -95,8 +108,13 @@
         let Some(brain) = &mut self.brain else { return };
         let hands = &mut self.hands;
         act(brain, hands.server.clock.now(), hands);
-        while let Some(inv) = hands.cut_off.pop() {
-            brain.caller_gone(hands.server.clock.now(), inv, hands);
+        while !hands.cut_off.is_empty() || !hands.settled.is_empty() {
+            if let Some(inv) = hands.cut_off.pop() {
+                brain.caller_gone(hands.server.clock.now(), inv, hands);
+            }
+            if let Some((inv, ending)) = hands.settled.pop() {
+                brain.finished(hands.server.clock.now(), inv, ending, hands);
+            }
         }
     }
 
@@ -125,13 +143,14 @@
 
     fn take(&mut self, input: Input) {
         match input {
-            Input::Arrived { connection, tag, operation, reference, since, held_kb, body, sender } => {
+            Input::Arrived { connection, tag, operation, reference, since, held_kb, body, token, sender } => {
                 let invocation = Invocation {
                     reference,
                     operation,
                     body,
                     connection,
                     tag,
+                    repeats: None,
                     answered: false,
                     runs: false,
                     unconfirmed: None,
@@ -139,7 +158,7 @@
                     asked: Vec::new(),
                     call: None,
                 };
-                self.arrived(invocation, since, held_kb, sender);
+                self.arrived(invocation, since, held_kb, token, sender);
             }
             Input::Broken(connection) => {
                 for inv in self.hands.invocations.open_on(connection) {
@@ -167,7 +186,42 @@
         }
     }
 
-    fn arrived(&mut self, invocation: Invocation, since: u64, held_kb: f64, sender: Option<Sender>) {
+    fn arrived(
+        &mut self,
+        mut invocation: Invocation,
+        since: u64,
+        held_kb: f64,
+        token: Option<Vec<u8>>,
+        sender: Option<Sender>,
+    ) {
+        let age = self.hands.server.clock.age(since).max(0) as Nanos;
+        let token = token.map(|token| (token, self.hands.body_hash(&invocation.body)));
+        if let Some((token, body)) = &token {
+            let now = self.hands.server.clock.now();
+            let reached = now.saturating_sub(age);
+            let answer = match self.hands.repeats.find(now, reached, invocation.operation, token, *body) {
+                Found::New => None,
+                Found::Repeat(of) => {
+                    self.hands.server.counters.repeats.add();
+                    invocation.repeats = Some(of);
+                    None
+                }
+                Found::Other => {
+                    self.hands.server.counters.tokens_other.add();
+                    Some(Answer::Errored)
+                }
+                // What cannot be remembered must not run, or its repeat would run as well.
+                Found::Full => {
+                    self.hands.server.counters.tokens_full.add();
+                    Some(Answer::Throttled { no_retry: false, stay_away: 0, ticket: None })
+                }
+            };
+            if let Some(answer) = answer {
+                invocation.connection.tell(Told::Answer(invocation.tag, answer));
+                return;
+            }
+        }
+        let (repeats, reached) = (invocation.repeats, self.hands.server.clock.now().saturating_sub(age));
         let (operation, tag, connection) =
             (invocation.operation, invocation.tag, invocation.connection.clone());
         let id = self.brain.as_ref().and_then(|_| self.hands.invocations.take_in(invocation));
@@ -177,8 +231,12 @@
             connection.tell(Told::Answer(tag, Answer::Errored));
             return;
         };
-        let age = self.hands.server.clock.age(since).max(0) as Nanos;
-        let arrival = Arrival { id, operation, age, held_kb, sender, ..Arrival::default() };
+        if let Some((token, body)) = token.filter(|_| repeats.is_none()) {
+            let window =
+                self.hands.server.configuration.settings.deployment.operations[operation].token_window;
+            self.hands.repeats.keep(id, operation, &token, body, reached + window);
+        }
+        let arrival = Arrival { id, operation, age, held_kb, repeats, sender, ..Arrival::default() };
         self.with_brain(|brain, now, hands| brain.arrived(now, arrival, hands));
     }
 
@@ -267,6 +325,20 @@
 }
 
 impl Hands {
+    /// Bodies are the peers' own, so the hash takes the seed.
+    fn body_hash(&self, body: &[u8]) -> u64 {
+        let mut hasher = SipHasher13::new_with_keys(self.server.configuration.seed, 0);
+        hasher.write(body);
+        hasher.finish()
+    }
+
+    /// Answers a repeat as its forerunner ended.
+    fn settle(&mut self, inv: u64, result: Option<Vec<u8>>) {
+        let ending = if result.is_some() { Ending::Succeeded } else { Ending::Errored };
+        self.answer(inv, result.map_or(Answer::Errored, Answer::Succeeded));
+        self.settled.push((inv, ending));
+    }
+
     fn number(&mut self) -> u64 {
         self.last += 1;
         self.last
@@ -361,6 +433,10 @@
     fn run_ended(&mut self, inv: u64, ending: Ending, result: Vec<u8>) {
         self.server.counters.runs_ended.add();
         self.drop_call(inv);
+        let good = Some(&result).filter(|result| ending == Ending::Succeeded && result.len() <= WORD_MAX);
+        for repeat in self.repeats.ended(inv, good.map(Vec::as_slice)) {
+            self.settle(repeat, good.cloned());
+        }
         match ending {
             Ending::Succeeded if result.len() <= WORD_MAX => self.answer(inv, Answer::Succeeded(result)),
             Ending::Succeeded | Ending::Errored | Ending::NeverRan => self.answer(inv, Answer::Errored),
@@ -450,17 +526,33 @@
     }
 
     fn skip_call(&mut self, inv: u64) {
-        self.cannot(inv, "leaving a call out");
+        let reply = self.server.configuration.options.borrow().left_out.clone();
+        let Some(reply) = reply else { return self.cannot(inv, "leaving a call out") };
+        let Some(invocation) = self.invocations.get(inv) else { return };
+        invocation.asked = Vec::new();
+        let line = interpreter::resolve(invocation.reference, reply.as_bytes());
+        self.server.counters.calls_left_out.add();
+        self.send_for(inv, line);
     }
 
-    fn remember(&mut self, _inv: u64, _life: Nanos) {
-        warn!("tokens are not on this wire");
-    }
+    /// Kept from its arrival on already.
+    fn remember(&mut self, _inv: u64, _life: Nanos) {}
 
-    fn forget(&mut self, _inv: u64) {}
+    fn forget(&mut self, inv: u64) {
+        for repeat in self.repeats.forget(inv) {
+            self.settle(repeat, None);
+        }
+    }
 
     fn reuse(&mut self, inv: u64) {
-        self.cannot(inv, "answering a repeat from its forerunner");
+        let Some(of) = self.invocations.get(inv).and_then(|invocation| invocation.repeats) else {
+            return self.cannot(inv, "answering a repeat from its forerunner");
+        };
+        match self.repeats.echo(of, inv) {
+            Echo::Wait => {}
+            Echo::Result(result) => self.settle(inv, Some(result)),
+            Echo::Nothing => self.settle(inv, None),
+        }
     }
 
     fn health(&mut self, good: bool, _stored: bool) {
--- a/crates/server/src/lifecycle/tasks/mod.rs
+++ b/crates/server/src/lifecycle/tasks/mod.rs
@@ -71,6 +71,8 @@
         since: u64,
         held_kb: f64,
         body: Vec<u8>,
+        /// That of a tokened operation.
+        token: Option<Vec<u8>>,
         /// Where tenants are told apart.
         sender: Option<meadowstream::Sender>,
     },
--- a/crates/server/src/memory/counters.rs
+++ b/crates/server/src/memory/counters.rs
@@ -37,5 +37,6 @@
     runs_sent stops_sent runs_ended awaits replies_sent commands_sent_again commands_not_done
     links notices bad_notices gauges_asked gauges_late
     calls calls_succeeded calls_errored calls_never_ran calls_unknown calls_dropped
+    repeats tokens_full tokens_other calls_left_out
     catalog_reports reloads reloads_refused
 }
--- a/crates/server/src/memory/invocations.rs
+++ b/crates/server/src/memory/invocations.rs
@@ -11,6 +11,8 @@
     pub body: Vec<u8>,
     pub connection: Rc<Connection>,
     pub tag: u64,
+    /// The invocation of which this is a repeat.
+    pub repeats: Option<u64>,
     pub answered: bool,
     /// A run was asked for and has not been heard to end.
     pub runs: bool,
--- a/crates/server/src/memory/mod.rs
+++ b/crates/server/src/memory/mod.rs
@@ -5,3 +5,4 @@
 pub mod descriptors;
 pub mod invocations;
 pub mod pool;
+pub mod repeats;
--- /dev/null
+++ b/crates/server/src/memory/repeats.rs
@@ -0,0 +1,231 @@
+//! What is remembered of tokened invocations, in bounded memory: which invocation a token came with, and what
+//! became of it, so that a repeat is answered from its forerunner and never run. It decides nothing of what
+//! runs; times are passed in, and all of it can be played without a server.
+
+use meadowstream::Nanos;
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+/// Longest token, in bytes.
+pub const TOKEN_MAX: usize = 128;
+/// What an entry takes at most beside its result: the token twice, places in the tables, waiters.
+pub const ENTRY_BYTES: usize = 2 * TOKEN_MAX + 256;
+
+/// What a token is known by: operation, token, and the body, so that another call with it is no repeat.
+type Key = (usize, Vec<u8>);
+
+#[derive(Clone, Debug, PartialEq)]
+enum Fate {
+    /// It waits or runs; these repeats wait for it.
+    Open(Vec<u64>),
+    Succeeded(Vec<u8>),
+    /// It came to nothing, or its result had to go: it has run all the same.
+    Nothing,
+}
+
+struct Entry {
+    key: Key,
+    body: u64,
+    /// Repeats that reached the machine before this are repeats of it.
+    until: Nanos,
+    fate: Fate,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Found {
+    New,
+    /// Of this invocation.
+    Repeat(u64),
+    /// The token is in use with another body.
+    Other,
+    /// Nothing more can be remembered, so it must not run.
+    Full,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Echo {
+    Wait,
+    Result(Vec<u8>),
+    Nothing,
+}
+
+pub struct Repeats {
+    entries: HashMap<u64, Entry>,
+    by_key: HashMap<Key, u64>,
+    /// When each may be dropped, and the results kept, the oldest first.
+    by_end: BTreeSet<(Nanos, u64)>,
+    results: VecDeque<u64>,
+    kept: usize,
+    most: usize,
+    most_bytes: usize,
+    /// How long one may lie unread after it reached the machine.
+    unread: Nanos,
+}
+
+impl Repeats {
+    pub fn new(most: usize, most_bytes: usize, unread: Nanos) -> Self {
+        Self {
+            entries: HashMap::new(),
+            by_key: HashMap::new(),
+            by_end: BTreeSet::new(),
+            results: VecDeque::new(),
+            kept: 0,
+            most,
+            most_bytes,
+            unread,
+        }
+    }
+
+    /// One came with this token and reached the machine at `reached`.
+    pub fn find(&mut self, now: Nanos, reached: Nanos, operation: usize, token: &[u8], body: u64) -> Found {
+        self.age(now);
+        let found = self.by_key.get(&(operation, token.to_vec())).map(|inv| (*inv, &self.entries[inv]));
+        match found {
+            Some((inv, entry)) if reached < entry.until => {
+                if entry.body == body {
+                    Found::Repeat(inv)
+                } else {
+                    Found::Other
+                }
+            }
+            // Its window is over though it is still remembered; the new one takes its place.
+            _ if self.entries.len() >= self.most => Found::Full,
+            _ => Found::New,
+        }
+    }
+
+    /// This invocation is the one that a later repeat belongs to.
+    pub fn keep(&mut self, inv: u64, operation: usize, token: &[u8], body: u64, until: Nanos) {
+        let key = (operation, token.to_vec());
+        self.by_key.insert(key.clone(), inv);
+        self.by_end.insert((until.saturating_add(self.unread), inv));
+        self.entries.insert(inv, Entry { key, body, until, fate: Fate::Open(Vec::new()) });
+    }
+
+    /// It never ran: one with its token is new again. Who waits for it is returned.
+    pub fn forget(&mut self, inv: u64) -> Vec<u64> {
+        let Some(entry) = self.entries.remove(&inv) else { return Vec::new() };
+        self.by_end.remove(&(entry.until.saturating_add(self.unread), inv));
+        if self.by_key.get(&entry.key) == Some(&inv) {
+            self.by_key.remove(&entry.key);
+        }
+        match entry.fate {
+            Fate::Open(waiting) => waiting,
+            Fate::Succeeded(result) => {
+                self.kept -= result.len();
+                self.results.retain(|other| *other != inv);
+                Vec::new()
+            }
+            Fate::Nothing => Vec::new(),
+        }
+    }
+
+    /// What the repeat is answered with; where it is to wait, it is returned when its forerunner ends.
+    pub fn echo(&mut self, forerunner: u64, repeat: u64) -> Echo {
+        match self.entries.get_mut(&forerunner).map(|entry| &mut entry.fate) {
+            Some(Fate::Open(waiting)) => {
+                waiting.push(repeat);
+                Echo::Wait
+            }
+            Some(Fate::Succeeded(result)) => Echo::Result(result.clone()),
+            Some(Fate::Nothing) | None => Echo::Nothing,
+        }
+    }
+
+    /// A run has ended, with a result where it succeeded. Who waits for it is returned.
+    pub fn ended(&mut self, inv: u64, result: Option<&[u8]>) -> Vec<u64> {
+        let Some(entry) = self.entries.get_mut(&inv) else { return Vec::new() };
+        let fate = result.map_or(Fate::Nothing, |result| Fate::Succeeded(result.to_vec()));
+        let Fate::Open(waiting) = std::mem::replace(&mut entry.fate, fate) else { return Vec::new() };
+        if let Some(result) = result {
+            self.kept += result.len();
+            self.results.push_back(inv);
+        }
+        // The oldest results go first; that they ran is remembered on.
+        while self.kept > self.most_bytes {
+            let Some(oldest) = self.results.pop_front() else { break };
+            let fate = self.entries.get_mut(&oldest).map(|entry| &mut entry.fate);
+            if let Some(Fate::Succeeded(result)) = fate.map(|fate| std::mem::replace(fate, Fate::Nothing)) {
+                self.kept -= result.len();
+            }
+        }
+        waiting
+    }
+
+    /// Drops what no repeat can belong to any more. One that still runs stays until it has ended.
+    fn age(&mut self, now: Nanos) {
+        let over: Vec<u64> = self.by_end.range(..(now, 0)).map(|(_, inv)| *inv).collect();
+        for inv in over {
+            if !matches!(self.entries[&inv].fate, Fate::Open(_)) {
+                self.forget(inv);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const KEPT: Nanos = 100;
+
+    fn table(most: usize, bytes: usize) -> Repeats {
+        Repeats::new(most, bytes, 10)
+    }
+
+    #[test]
+    fn a_repeat_waits_and_hears_what_its_forerunner_heard() {
+        let mut table = table(4, 64);
+        assert_eq!(table.find(0, 0, 1, b"t", 7), Found::New);
+        table.keep(1, 1, b"t", 7, KEPT);
+        assert_eq!(table.find(1, 1, 1, b"t", 7), Found::Repeat(1));
+        assert_eq!(table.find(1, 1, 1, b"t", 8), Found::Other);
+        assert_eq!(table.find(1, 1, 0, b"t", 7), Found::New);
+        assert_eq!((table.echo(1, 2), table.echo(1, 3)), (Echo::Wait, Echo::Wait));
+        assert_eq!(table.ended(1, Some(b"done")), vec![2, 3]);
+        assert_eq!(table.echo(1, 4), Echo::Result(b"done".to_vec()));
+    }
+
+    #[test]
+    fn the_window_counts_from_when_one_reached_the_machine() {
+        let mut table = table(4, 64);
+        table.keep(1, 0, b"t", 7, KEPT);
+        table.ended(1, None);
+        // Read after the window, but here before its end.
+        assert_eq!(table.find(KEPT + 5, KEPT - 1, 0, b"t", 7), Found::Repeat(1));
+        assert_eq!(table.find(KEPT + 5, KEPT, 0, b"t", 7), Found::New);
+        assert_eq!(table.find(KEPT + 11, KEPT - 1, 0, b"t", 7), Found::New);
+    }
+
+    #[test]
+    fn a_full_table_takes_none_and_a_run_is_never_dropped() {
+        let mut table = table(2, 64);
+        table.keep(1, 0, b"a", 7, KEPT);
+        table.keep(2, 0, b"b", 7, KEPT);
+        table.ended(2, None);
+        assert_eq!(table.find(0, 0, 0, b"c", 7), Found::Full);
+        assert_eq!(table.find(0, 0, 0, b"a", 7), Found::Repeat(1));
+        // The second is over; the first runs on.
+        assert_eq!(table.find(KEPT + 50, KEPT + 50, 0, b"c", 7), Found::New);
+        assert_eq!(table.echo(1, 9), Echo::Wait);
+    }
+
+    #[test]
+    fn results_give_way_but_not_that_they_ran() {
+        let mut table = table(4, 5);
+        table.keep(1, 0, b"a", 7, KEPT);
+        table.keep(2, 0, b"b", 7, KEPT);
+        table.ended(1, Some(b"four"));
+        table.ended(2, Some(b"four"));
+        assert_eq!(table.find(0, 0, 0, b"a", 7), Found::Repeat(1));
+        assert_eq!((table.echo(1, 8), table.echo(2, 9)), (Echo::Nothing, Echo::Result(b"four".to_vec())));
+    }
+
+    #[test]
+    fn what_never_ran_is_new_again() {
+        let mut table = table(4, 64);
+        table.keep(1, 0, b"a", 7, KEPT);
+        table.echo(1, 2);
+        assert_eq!(table.forget(1), vec![2]);
+        assert_eq!(table.find(1, 1, 0, b"a", 7), Found::New);
+    }
+}
--- a/crates/server/tests/server.rs
+++ b/crates/server/tests/server.rs
@@ -42,6 +42,10 @@
 #[test_case("cannot_be_served")]
 #[test_case("tenants")]
 #[test_case("tenants_faulty")]
+#[test_case("tokens")]
+#[test_case("tokens_full")]
+#[test_case("mixed_shapes")]
+#[test_case("shared_shape")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -32,6 +32,11 @@
         Ok(number)
     }
 
+    fn positive(&self, path: &str) -> Result<f64> {
+        let number = self.number(path)?;
+        if number <= 0.0 { bail!("setting {path}: {number} is out of range") } else { Ok(number) }
+    }
+
     fn span(&self, path: &str) -> Result<Nanos> {
         let micros: u64 = self.get(path)?;
         micros.checked_mul(1000).with_context(|| format!("setting {path}: {micros} is out of range"))
@@ -89,6 +94,10 @@
     pub operation_names: Vec<String>,
     /// How long the answer of a read may be handed to others.
     pub share_reads_for: Nanos,
+    /// Whether callers that give up are told of.
+    pub tells_gone: bool,
+    /// This server's share of a dependency, whatever lies below.
+    pub dependency_share: f64,
 }
 
 pub fn read_json(settings: &Value) -> Result<Read> {
@@ -119,7 +128,10 @@
         ];
         let effect = pairs.choice(&at("effect"), &effects)?;
         let without_call_value = match without_call.get(i) {
-            Some(text) => text.parse().with_context(|| format!("family-info.degraded-worth: {text:?}"))?,
+            Some(text) => {
+                let share = text.parse().ok().filter(|share: &f64| (0.0..=1.0).contains(share));
+                share.with_context(|| format!("setting family-info.degraded-worth: cannot read {text:?}"))?
+            }
             None => 0.0,
         };
         operation_names.push(pairs.get_or(&at("name"), i.to_string())?);
@@ -133,7 +145,11 @@
                 pairs.span_or(&at("window"), 0)?
             },
             billed_value: pairs.number(&at("worth"))?,
-            late_value: pairs.get_or(&at("late-worth"), 0.0)?,
+            late_value: if pairs.0.contains_key(&at("late-worth")) {
+                pairs.number(&at("late-worth"))?
+            } else {
+                0.0
+            },
             without_call_value,
             calls: calls.get(i).is_none_or(|text| *text == "true"),
         });
@@ -148,7 +164,7 @@
         "off" => Below::Nothing,
         "tier" => Below::Tier,
         "one_for_all" => Below::Shared {
-            share: pairs.number("family-info.dep-share")?,
+            share: pairs.positive("family-info.dep-share")?,
             linger: pairs.span_or("family-info.lingers", 0)?,
             over: pairs.span("family-info.calls-over")?,
         },
@@ -195,6 +211,12 @@
         wanting_gauge: place("runnable"),
         operation_names,
         share_reads_for: pairs.span_or("family-info.share-for", 0)?,
+        tells_gone: pairs.get_or("family-info.tells-gone", false)?,
+        dependency_share: if pairs.0.contains_key("family-info.dep-share") {
+            pairs.number("family-info.dep-share")?
+        } else {
+            0.0
+        },
     })
 }
 
