Calls under the top rank leave half of the room below free

Cause and lines: make_calls spent the budget on whoever stood at a call; calls by rank help only among those that wait at the same moment, so confirm and star-award found it used up. Change: all but the top rank need half of what may be gathered beside their own call; where the answer keeps some value the call is left out, else it waits.

--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -58,6 +58,8 @@
 const CALLS_DOWN: f64 = 0.93;
 /// A call that may be repeated is given up after this many usual call times, twice as many each time.
 const CALL_PATIENCE: f64 = 2.0;
+/// Share of the room for calls below that all but the top rank leave free.
+const KEPT_FREE: f64 = 0.5;
 /// One that may not be repeated is given so much longer.
 const ONCE: f64 = 4.0;
 /// A call that was turned away is made again after this share of a run's usual time.
@@ -553,7 +555,9 @@
         if shared {
             let (most, linger) = (self.below_most(), self.linger() as f64);
             let wish = (allowed as f64).min(if patience > 0.0 { patience * ONCE } else { f64::INFINITY });
-            self.below_needed = (wish + linger).min(most);
+            // Below the top rank some room is left, or the worthiest find none where calls are slow.
+            let spare = if inv.rank + 1 < self.values.len() { most * KEPT_FREE } else { 0.0 };
+            self.below_needed = (wish + linger + spare).min(most);
             if self.below_room < self.below_needed {
                 return if partly { self.leave_out(i, host) } else { None };
             }
--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -351,6 +351,7 @@
 #[test_case("shared_dependency")]
 #[test_case("call_left_out")]
 #[test_case("calls_full")]
+#[test_case("call_room_kept")]
 #[test_case("call_left_out_full")]
 #[test_case("tokened_caller_gone")]
 #[test_case("tokened_gone_held")]
