--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -59,7 +59,7 @@
 /// A call that may be repeated is given up after this many usual call times, twice as many each time.
 const CALL_PATIENCE: f64 = 2.0;
 /// Share of the room for calls below that all but the top rank leave free.
-const KEPT_FREE: f64 = 0.5;
+const KEPT_FREE: f64 = 0.3;
 /// One that may not be repeated is given so much longer.
 const ONCE: f64 = 4.0;
 /// A call that was turned away is made again after this share of a run's usual time.
