--- a/crates/server/tests/server.rs
+++ b/crates/server/tests/server.rs
@@ -44,6 +44,7 @@
 #[test_case("tenants_faulty")]
 #[test_case("tokens")]
 #[test_case("tokens_full")]
+#[test_case("tokens_killed")]
 #[test_case("mixed_shapes")]
 #[test_case("shared_shape")]
 fn scenario(name: &str) {
