--- a/crates/server/src/lifecycle/configuration.rs
+++ b/crates/server/src/lifecycle/configuration.rs
@@ -139,12 +139,12 @@
             let named = op.effect != Effect::Tokened || options.tokens.is_some();
             ensure!(
                 named,
-                "settings: grades.{i}.effect: no field carries the token; <tokens field=...> in the options names one"
+                "settings: grades.{i}.effect: <tokens> in the options is to name the field of the token"
             );
             let left_out = op.without_call_value <= 0.0 || options.left_out.is_some();
             ensure!(
                 left_out,
-                "settings: family-info.degraded-worth: <calls left-out=...> in the options is to say what a run hears"
+                "settings: family-info.degraded-worth: <calls> in the options is to say the reply"
             );
         }
         let apart = site.tenant_allowance.is_empty() || options.tenants.is_some();
@@ -183,7 +183,7 @@
             let most = (self.memory_mb << 20) as usize / TOKENS_PART;
             ensure!(
                 bytes <= most,
-                "options: <tokens>: entries and results-kb take {bytes} bytes, {most} of limits.memory_mb at most"
+                "options: <tokens>: {bytes} bytes in all, of limits.memory_mb {most} at most"
             );
         }
         Ok(())
