Scenarios: a drain with tokened work, and repeats after a success, an error and a lost call

No code is changed. Both were seen to fail with the answering of repeats and the mark of late arrivals taken out of brain.rs, and pass with them back.

--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -355,6 +355,8 @@
 #[test_case("call_left_out_full")]
 #[test_case("tokened_caller_gone")]
 #[test_case("tokened_gone_held")]
+#[test_case("drain_tokened")]
+#[test_case("tokened_repeats")]
 #[test_case("idle_connections")]
 #[test_case("idle_connections_many")]
 #[test_case("large_by_hint")]
