Simulated fleets are played over several threads; a cut and heal at large size

Members are now played side by side in windows of the network's least delay, within which none hears another; a test shows that two and five threads give the same datagrams and views. Failed try: a stalled member's past timers were put back each window, which never ended; they come back when it goes on.

--- a/crates/membership/src/sim.rs
+++ b/crates/membership/src/sim.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashSet};
+use std::collections::{BTreeMap, BinaryHeap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 /// What the network does to each datagram.
@@ -31,6 +31,45 @@
     incarnation: u64,
 }
 
+/// Datagrams to whom.
+type Outgoing = Vec<(SocketAddr, Vec<u8>)>;
+
+impl Slot {
+    /// Plays the datagrams of a window, in the order of their time, and the timers that are due before its
+    /// end; what was sent when.
+    fn play(
+        &mut self,
+        now: Nanos,
+        end: Nanos,
+        inbox: Vec<(Nanos, SocketAddr, Vec<u8>)>,
+    ) -> Vec<(Nanos, Outgoing)> {
+        let Some(core) = self.core.as_mut() else { return Vec::new() };
+        if self.stalled {
+            let room = HELD_MAX - self.held.len();
+            self.held.extend(inbox.into_iter().take(room).map(|(_, from, bytes)| (from, bytes)));
+            return Vec::new();
+        }
+        let mut sent = Vec::new();
+        let mut inbox = inbox.into_iter().peekable();
+        loop {
+            let due = core.next_due().filter(|due| *due < end).unwrap_or(Nanos::MAX);
+            let at = if let Some((at, from, bytes)) = inbox.next_if(|(at, ..)| *at <= due) {
+                let _ = core.receive(from, &bytes, at);
+                at
+            } else if due < Nanos::MAX {
+                core.advance(due.max(now));
+                due.max(now)
+            } else {
+                return sent;
+            };
+            let outgoing = core.outgoing();
+            if !outgoing.is_empty() {
+                sent.push((at, outgoing));
+            }
+        }
+    }
+}
+
 type Delivery = Reverse<(Nanos, u64, usize, SocketAddr, Vec<u8>)>;
 
 pub struct Fleet {
@@ -45,6 +84,10 @@
     seq: u64,
     now: Nanos,
     pub net: Net,
+    /// Over how many threads members are played. One plays event by event; more play in windows of the
+    /// network's least delay, within which no member hears another, so that the outcome is the same however
+    /// many there are. More than one wants a delay above 0.
+    pub threads: usize,
     /// Datagrams and bytes put on the network, from the start.
     pub sent: u64,
     pub sent_bytes: u64,
@@ -67,6 +110,7 @@
             seq: 0,
             now: 0,
             net,
+            threads: 1,
             sent: 0,
             sent_bytes: 0,
         }
@@ -118,9 +162,9 @@
         self.after(i);
     }
 
-    /// Starts all members with the whole fleet known to each already, over `threads` threads: a join of many
-    /// thousands costs the square of them, which is not what is measured.
-    pub fn start_settled(&mut self, threads: usize) {
+    /// Starts all members with the whole fleet known to each already: a join of many thousands costs the
+    /// square of them, which is not what is measured.
+    pub fn start_settled(&mut self) {
         let n = self.slots.len();
         let id = |i: usize| Id { name: format!("s{i}"), addr: Fleet::addr(i), incarnation: 1 };
         let (settings, seed, now) = (&self.settings, self.seed, self.now);
@@ -131,7 +175,7 @@
             core.changes();
             core
         };
-        let part = n.div_ceil(threads.max(1)).max(1);
+        let part = n.div_ceil(self.threads.max(1)).max(1);
         std::thread::scope(|scope| {
             for (p, slots) in self.slots.chunks_mut(part).enumerate() {
                 scope.spawn(move || {
@@ -199,7 +243,16 @@
 
     fn after(&mut self, i: usize) {
         let Some(core) = self.slots[i].core.as_mut() else { return };
-        for (to, bytes) in core.outgoing() {
+        let outgoing = core.outgoing();
+        self.route(i, outgoing);
+        if let Some(due) = self.slots[i].core.as_ref().and_then(|c| c.next_due()) {
+            self.due.push(Reverse((due, i)));
+        }
+    }
+
+    /// Puts on the network what member `i` sends now.
+    fn route(&mut self, i: usize, outgoing: Outgoing) {
+        for (to, bytes) in outgoing {
             self.sent += 1;
             self.sent_bytes += bytes.len() as u64;
             let Some(j) = Fleet::index(to) else { continue };
@@ -217,9 +270,6 @@
                 self.queue.push(Reverse((at, self.seq, j, Fleet::addr(i), bytes.clone())));
             }
         }
-        if let Some(due) = self.slots[i].core.as_ref().and_then(|c| c.next_due()) {
-            self.due.push(Reverse((due, i)));
-        }
     }
 
     fn chance(&mut self, p: f64) -> bool {
@@ -228,6 +278,9 @@
 
     /// Plays every event up to `until`.
     pub fn run_until(&mut self, until: Nanos) {
+        if self.threads > 1 && self.net.delay > 0 {
+            return self.run_windows(until);
+        }
         loop {
             let next_msg = self.queue.peek().map(|Reverse(d)| d.0);
             let next_timer = self.due.peek().map(|Reverse(d)| d.0);
@@ -271,6 +324,66 @@
         self.now = self.now.max(until);
     }
 
+    /// The same in windows: what comes within one is sorted to its members, these are played side by side, and
+    /// what they send is put on the network in the order of time and member.
+    fn run_windows(&mut self, until: Nanos) {
+        loop {
+            let next_msg = self.queue.peek().map(|Reverse(d)| d.0);
+            let next_timer = self.due.peek().map(|Reverse(d)| d.0);
+            let Some(next) = next_msg.into_iter().chain(next_timer).min().filter(|next| *next <= until)
+            else {
+                break;
+            };
+            let end = (next.max(self.now) + self.net.delay).min(until + 1);
+            let mut inboxes: BTreeMap<usize, Vec<(Nanos, SocketAddr, Vec<u8>)>> = BTreeMap::new();
+            while self.queue.peek().is_some_and(|Reverse(d)| d.0 < end) {
+                let Reverse((at, _, j, from, bytes)) = self.queue.pop().expect("peeked");
+                inboxes.entry(j).or_default().push((at, from, bytes));
+            }
+            while self.due.peek().is_some_and(|Reverse(d)| d.0 < end) {
+                let Reverse((_, i)) = self.due.pop().expect("peeked");
+                inboxes.entry(i).or_default();
+            }
+            let now = self.now;
+            let mut busy: Vec<_> = (self.slots.iter_mut().enumerate())
+                .filter_map(|(i, slot)| Some((i, slot, inboxes.remove(&i)?)))
+                .collect();
+            let part = busy.len().div_ceil(self.threads).max(4);
+            let mut sent: Vec<(Nanos, usize, Outgoing)> = Vec::new();
+            let mut due: Vec<(Nanos, usize)> = Vec::new();
+            std::thread::scope(|scope| {
+                let play = |part: &mut [(usize, &mut Slot, Vec<(Nanos, SocketAddr, Vec<u8>)>)]| {
+                    let (mut sent, mut due) = (Vec::new(), Vec::new());
+                    for (i, slot, inbox) in part {
+                        let outgoing = slot.play(now, end, std::mem::take(inbox));
+                        sent.extend(outgoing.into_iter().map(|(at, out)| (at, *i, out)));
+                        // One that is stalled has its timers again when it goes on.
+                        let core = slot.core.as_ref().filter(|_| !slot.stalled);
+                        due.extend(core.and_then(|core| core.next_due()).map(|at| (at, *i)));
+                    }
+                    (sent, due)
+                };
+                let mut parts = busy.chunks_mut(part);
+                let first = parts.next();
+                let others: Vec<_> = parts.map(|part| scope.spawn(move || play(part))).collect();
+                let mine = first.map(play);
+                let theirs = others.into_iter().map(|other| other.join().expect("a member panicked"));
+                for (of_part, due_of_part) in mine.into_iter().chain(theirs) {
+                    sent.extend(of_part);
+                    due.extend(due_of_part);
+                }
+            });
+            sent.sort_by_key(|(at, i, _)| (*at, *i));
+            for (at, i, outgoing) in sent {
+                self.now = at;
+                self.route(i, outgoing);
+            }
+            self.due.extend(due.into_iter().map(Reverse));
+            self.now = self.now.max(end - 1);
+        }
+        self.now = self.now.max(until);
+    }
+
     /// Whether every running member in `who` holds exactly the others of `who` as members (alive or suspect),
     /// each in its present incarnation.
     pub fn agree(&self, who: &[usize]) -> bool {
@@ -279,12 +392,19 @@
         let mut want: Vec<(SocketAddr, u64)> =
             who.iter().map(|&j| (Fleet::addr(j), incarnation(j))).collect();
         want.sort();
-        who.iter().all(|&i| {
+        let holds = |i: usize| {
             let Some(core) = self.slots[i].core.as_ref() else { return true };
             let mut have = core.members();
             have.push((Fleet::addr(i), incarnation(i)));
             have.sort();
             have == want
+        };
+        let part = who.len().div_ceil(self.threads).max(1);
+        std::thread::scope(|scope| {
+            let parts = who.chunks(part);
+            let parts: Vec<_> =
+                parts.map(|part| scope.spawn(move || part.iter().all(|&i| holds(i)))).collect();
+            parts.into_iter().all(|part| part.join().expect("a member panicked"))
         })
     }
 
--- a/crates/membership/tests/large.rs
+++ b/crates/membership/tests/large.rs
@@ -72,32 +72,72 @@
     play(1000, 22, 600 * S);
 }
 
-/// Ten thousand members that know each other already: a crash, and what it costs. About 20 GB and several
-/// minutes; `MEMBERS` names another number.
+/// Ten thousand members that know each other already: a crash, a cut of every hundredth for a minute and its
+/// heal, and what it costs. About 16 GB and many minutes; `MEMBERS` names another number, `THREADS` how many
+/// threads play it (the outcome is the same).
 #[test]
 #[ignore]
 fn ten_thousand_settled() {
-    let n: usize = std::env::var("MEMBERS").ok().and_then(|n| n.parse().ok()).unwrap_or(10_000);
+    let given = |name: &str, absent| std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(absent);
+    let n: usize = given("MEMBERS", 10_000);
     let mut s = Settings::lan("quiz", b"sixteen byte key");
     s.expected_members = n as u32;
     let net = Net { loss: 0.0, delay: MS, jitter: 2 * MS, duplicate: 0.0 };
     let mut fleet = Fleet::new(n, s.clone(), 23, net);
+    fleet.threads = given("THREADS", 6);
     let began = std::time::Instant::now();
-    fleet.start_settled(6);
-    eprintln!("{n} views of {n} made in {:?}", began.elapsed());
+    let say = |what: String| eprintln!("members {n}, {:.0?} of real time: {what}", began.elapsed());
+    fleet.start_settled();
+    say(format!("{n} views made"));
     fleet.run_until(5 * S);
     let (sent, bytes) = (fleet.sent, fleet.sent_bytes);
     fleet.run_until(15 * S);
     let each = |count: u64| count as f64 / n as f64 / 10.0;
     let (datagrams, bytes) = (each(fleet.sent - sent), each(fleet.sent_bytes - bytes));
+    say(format!(
+        "{datagrams:.1} datagrams and {bytes:.0} bytes per member per second, log2 n {:.1}",
+        (n as f64).log2()
+    ));
+    let seconds = |t: u64| t as f64 / S as f64;
     fleet.crash(n - 1);
     let rest: Vec<usize> = (0..n - 1).collect();
     let crash = fleet.until_agreed(&rest, 500 * MS, 60 * S).expect("crash seen");
-    eprintln!(
-        "members {n}: crash seen by all {:.2} s, {datagrams:.1} datagrams and {bytes:.0} bytes per member \
-         per second, log2 n {:.1}",
-        crash as f64 / S as f64,
-        (n as f64).log2()
-    );
+    say(format!("crash seen by all {:.2} s", seconds(crash)));
     assert!(crash <= s.suspicion() + 8 * s.probe_period, "crash {crash}");
+
+    let (few, most): (Vec<usize>, Vec<usize>) = rest.iter().partition(|i| *i % 100 == 50);
+    few.iter().for_each(|i| fleet.group(*i, 1));
+    fleet.cut(0, 1);
+    fleet.cut(1, 0);
+    let cut = fleet.until_agreed(&most, 1000 * MS, 60 * S).expect("cut seen");
+    say(format!("{} cut off, seen by all others {:.2} s", few.len(), seconds(cut)));
+    let t = fleet.now();
+    fleet.run_until(t + (60 * S).saturating_sub(cut));
+    fleet.heal();
+    let heal = fleet.until_agreed(&rest, 1000 * MS, 600 * S).expect("healed");
+    say(format!("one view after the heal {:.2} s", seconds(heal)));
+    assert!(heal <= 3 * s.announce_period, "heal {heal}");
+}
+
+/// Played in windows over two threads and over five: the same datagrams, and the same views at each step.
+#[test]
+fn the_number_of_threads_changes_nothing() {
+    let play = |threads| {
+        let mut s = Settings::lan("quiz", b"sixteen byte key");
+        s.expected_members = 96;
+        let net = Net { loss: 0.05, delay: 5 * MS, jitter: 20 * MS, duplicate: 0.05 };
+        let mut fleet = Fleet::new(96, s, 29, net);
+        fleet.threads = threads;
+        (0..96).for_each(|i| fleet.start(i, &[0, 1]));
+        let joined = fleet.until_agreed(&(0..96).collect::<Vec<_>>(), 500 * MS, 60 * S).expect("joined");
+        fleet.crash(7);
+        fleet.stall(8);
+        let t = fleet.now();
+        fleet.run_until(t + 9 * S);
+        fleet.resume(8);
+        let rest: Vec<usize> = (0..96).filter(|i| *i != 7).collect();
+        let back = fleet.until_agreed(&rest, 250 * MS, 60 * S).expect("one view without the dead one");
+        (joined, back, fleet.sent, fleet.sent_bytes, fleet.core(0).map(|core| core.counts().clone()))
+    };
+    assert_eq!(play(2), play(5));
 }
