Services below are judged by the fleet: routing round those ejected, with probes

The module asks may_call with the invocation, so a tier wholly ejected is an input like an exhausted budget. A call given up counts against its service only past the slow limit. Counts by operation and named tenant with billed value.

--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -558,7 +558,7 @@
         if partly && self.invs[i].calls > 0 {
             return self.leave_out(i, host);
         }
-        self.calls_shut = !host.may_call(self.count(&[State::AtCall]) as usize);
+        self.calls_shut = !host.may_call(self.invs[i].id, self.count(&[State::AtCall]) as usize);
         if self.calls_shut {
             return if partly { self.leave_out(i, host) } else { None };
         }
--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -73,7 +73,7 @@
     fn give_up(&mut self, inv: u64) {
         self.answered("give_up", inv);
     }
-    fn may_call(&mut self, _waiting: usize) -> bool {
+    fn may_call(&mut self, _inv: u64, _waiting: usize) -> bool {
         self.room.is_none_or(|room| self.out < room)
     }
     fn call(&mut self, inv: u64, timeout: Nanos) {
--- a/crates/membership/src/sim.rs
+++ b/crates/membership/src/sim.rs
@@ -33,16 +33,15 @@
 
 /// Datagrams to whom.
 type Outgoing = Vec<(SocketAddr, Vec<u8>)>;
+/// Datagrams with when they come and from whom.
+type Inbox = Vec<(Nanos, SocketAddr, Vec<u8>)>;
+/// A member with what comes to it within a window.
+type Busy<'a> = (usize, &'a mut Slot, Inbox);
 
 impl Slot {
     /// Plays the datagrams of a window, in the order of their time, and the timers that are due before its
     /// end; what was sent when.
-    fn play(
-        &mut self,
-        now: Nanos,
-        end: Nanos,
-        inbox: Vec<(Nanos, SocketAddr, Vec<u8>)>,
-    ) -> Vec<(Nanos, Outgoing)> {
+    fn play(&mut self, now: Nanos, end: Nanos, inbox: Inbox) -> Vec<(Nanos, Outgoing)> {
         let Some(core) = self.core.as_mut() else { return Vec::new() };
         if self.stalled {
             let room = HELD_MAX - self.held.len();
@@ -335,7 +334,7 @@
                 break;
             };
             let end = (next.max(self.now) + self.net.delay).min(until + 1);
-            let mut inboxes: BTreeMap<usize, Vec<(Nanos, SocketAddr, Vec<u8>)>> = BTreeMap::new();
+            let mut inboxes: BTreeMap<usize, Inbox> = BTreeMap::new();
             while self.queue.peek().is_some_and(|Reverse(d)| d.0 < end) {
                 let Reverse((at, _, j, from, bytes)) = self.queue.pop().expect("peeked");
                 inboxes.entry(j).or_default().push((at, from, bytes));
@@ -345,14 +344,14 @@
                 inboxes.entry(i).or_default();
             }
             let now = self.now;
-            let mut busy: Vec<_> = (self.slots.iter_mut().enumerate())
+            let mut busy: Vec<Busy> = (self.slots.iter_mut().enumerate())
                 .filter_map(|(i, slot)| Some((i, slot, inboxes.remove(&i)?)))
                 .collect();
             let part = busy.len().div_ceil(self.threads).max(4);
             let mut sent: Vec<(Nanos, usize, Outgoing)> = Vec::new();
             let mut due: Vec<(Nanos, usize)> = Vec::new();
             std::thread::scope(|scope| {
-                let play = |part: &mut [(usize, &mut Slot, Vec<(Nanos, SocketAddr, Vec<u8>)>)]| {
+                let play = |part: &mut [Busy]| {
                     let (mut sent, mut due) = (Vec::new(), Vec::new());
                     for (i, slot, inbox) in part {
                         let outgoing = slot.play(now, end, std::mem::take(inbox));
--- a/crates/options/src/lib.rs
+++ b/crates/options/src/lib.rs
@@ -90,11 +90,25 @@
     pub voters: Vec<String>,
 }
 
+/// The services of the tier below, judged by the fleet (`docs/shared-state.md`).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tier {
+    /// Servers that must find a service slow or failing.
+    pub reports: usize,
+    /// Part of the tier that is ejected at most, in thousandths.
+    pub share_thousandths: usize,
+    /// How long a report counts, in nanoseconds.
+    pub expiry: u64,
+    /// Names and addresses, the same on every server and in the same order.
+    pub services: Vec<(String, SocketAddr)>,
+}
+
 /// What this server shares with the others of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SharedState {
     pub gossip: u64,
     pub budget: Option<Budget>,
+    pub tier: Option<Tier>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -318,8 +332,47 @@
 fn shared_state<'d>(document: &Document<'d>, node: Node<'_, 'd>) -> Result<SharedState> {
     let element = Element::new(document, node, &["gossip-ms"])?;
     let gossip = element.span("gossip-ms", 500_000_000, 10, 60_000)?;
-    let budget = element.children(&["budget"], &[])?.into_iter().next();
-    Ok(SharedState { gossip, budget: budget.map(|node| budget_of(document, node)).transpose()? })
+    let (mut budget, mut tier) = (None, None);
+    for child in element.children(&["budget", "tier"], &[])? {
+        match child.tag_name().name() {
+            "budget" => budget = Some(budget_of(document, child)?),
+            _ => tier = Some(tier_of(document, child)?),
+        }
+    }
+    Ok(SharedState { gossip, budget, tier })
+}
+
+/// The attributes of `<tier>`, each read below.
+pub const TIER: &[&str] = &["reports", "eject-share", "expiry-ms"];
+/// Services named at most.
+const SERVICES_MAX: usize = 256;
+
+fn tier_of<'d>(document: &Document<'d>, node: Node<'_, 'd>) -> Result<Tier> {
+    let element = Element::new(document, node, TIER)?;
+    let mut services: Vec<(String, SocketAddr)> = Vec::new();
+    for child in element.children(&["service"], &["service"])? {
+        let service = Element::new(document, child, &["name", "address"])?;
+        ensure!(services.len() < SERVICES_MAX, "{}: more than {SERVICES_MAX}", service.at());
+        let name = service.text("name").with_context(|| format!("{}: name is missing", service.at()))?;
+        let named = (1..=64).contains(&name.len());
+        ensure!(named, "{}: name: 1 to 64 bytes, not {}", service.at(), name.len());
+        let address = address(&service, "address")?;
+        let twice = services.iter().any(|(other, at)| other == name || *at == address);
+        ensure!(!twice, "{}: name, address: {name:?} or {address} is given twice", service.at());
+        services.push((name.to_string(), address));
+    }
+    ensure!(!services.is_empty(), "{}: service is missing", element.at());
+    Ok(Tier {
+        reports: element.whole("reports", 2, 1, 1000)?,
+        share_thousandths: (element.number("eject-share", 0.5, 0.0, 1.0)? * 1000.0).round() as usize,
+        expiry: element.span("expiry-ms", 5_000_000_000, 100, 600_000)?,
+        services,
+    })
+}
+
+fn address(element: &Element, name: &str) -> Result<SocketAddr> {
+    let text = element.text(name).with_context(|| format!("{}: {name} is missing", element.at()))?;
+    text.parse().map_err(|_| anyhow!("{}: {name}: {text:?} is no address and port", element.at()))
 }
 
 fn budget_of<'d>(document: &Document<'d>, node: Node<'_, 'd>) -> Result<Budget> {
@@ -365,10 +418,6 @@
 
 fn membership<'d>(document: &Document<'d>, node: Node<'_, 'd>) -> Result<Membership> {
     let element = Element::new(document, node, MEMBERSHIP)?;
-    let address = |element: &Element, name: &str| -> Result<SocketAddr> {
-        let text = element.text(name).with_context(|| format!("{}: {name} is missing", element.at()))?;
-        text.parse().map_err(|_| anyhow!("{}: {name}: {text:?} is no address and port", element.at()))
-    };
     let short = |element: &Element, name: &str| -> Result<Option<String>> {
         let Some(text) = element.text(name) else { return Ok(None) };
         let plain = text.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b));
--- a/crates/options/tests/options.rs
+++ b/crates/options/tests/options.rs
@@ -97,6 +97,7 @@
         .chain(&others)
         .chain(meadowstream_options::MEMBERSHIP)
         .chain(meadowstream_options::BUDGET)
+        .chain(meadowstream_options::TIER)
         .map(|name| name.to_string())
         .collect();
     assert_eq!(named("attribute"), read);
@@ -167,6 +168,21 @@
             "<shared-state><budget name=\"r\" total=\"9\" servers=\"8\"><voter/></budget></shared-state>",
             "<voter>: name is missing",
         ),
+        ("<shared-state><tier reports=\"2\"/></shared-state>", "line 3, <tier>: service is missing"),
+        (
+            "<shared-state><tier>\n<service name=\"r\" address=\"there\"/></tier></shared-state>",
+            "line 4, <service>: address: \"there\" is no address and port",
+        ),
+        (
+            "<shared-state><tier><service name=\"r\" address=\"127.0.0.1:1\"/>\n\
+             <service name=\"s\" address=\"127.0.0.1:1\"/></tier></shared-state>",
+            "line 4, <service>: name, address: \"s\" or 127.0.0.1:1 is given twice",
+        ),
+        (
+            "<shared-state><tier eject-share=\"1.5\"><service name=\"r\" address=\"127.0.0.1:1\"/></tier>\
+             </shared-state>",
+            "line 3, <tier>: eject-share: 1.5 is not within 0 and 1",
+        ),
     ] {
         let fault = format!("{:#}", Options::read(&file(inside)).unwrap_err());
         assert!(fault.contains(place), "{fault}");
--- a/crates/server/src/lifecycle/configuration.rs
+++ b/crates/server/src/lifecycle/configuration.rs
@@ -8,6 +8,7 @@
 use meadowstream_shared_state::Settings as SharedSettings;
 use meadowstream_shared_state::budget::Plan;
 use meadowstream_shared_state::counts::Limits;
+use meadowstream_shared_state::judge::Settings as JudgeSettings;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -55,6 +56,8 @@
     pub settings: meadowstream_membership::Settings,
     /// What is shared beside the view.
     pub shared: Option<meadowstream_shared_state::Settings>,
+    /// Where the services are that it judges, in their order.
+    pub tier: Vec<SocketAddr>,
 }
 
 /// A shorter key is refused, and so is a longer file.
@@ -84,7 +87,12 @@
     let settings = SharedSettings {
         budgets: given.budget.iter().map(plan).collect(),
         counts: Limits::default(),
-        judge: None,
+        judge: given.tier.as_ref().map(|tier| JudgeSettings {
+            services: tier.services.iter().map(|(name, _)| name.clone()).collect(),
+            reports: tier.reports,
+            share_thousandths: tier.share_thousandths,
+            expiry: tier.expiry,
+        }),
         gossip: given.gossip,
         body_max,
     };
@@ -111,6 +119,7 @@
         seeds: given.seeds.clone(),
         settings,
         shared: None,
+        tier: Vec::new(),
     })
 }
 
@@ -131,6 +140,10 @@
                 let body_max = fleet.settings.packet_max;
                 fleet.shared =
                     options.shared_state.as_ref().map(|given| shared(given, body_max)).transpose()?;
+                let tier = options.shared_state.as_ref().and_then(|shared| shared.tier.as_ref());
+                let calls = read.addresses.get().records.is_some();
+                ensure!(calls || tier.is_none(), "<tier>: the configuration names no records to call");
+                fleet.tier = tier.iter().flat_map(|t| &t.services).map(|(_, address)| *address).collect();
                 read.membership = Some(fleet);
             }
             (read.options, read.options_path) = (RefCell::new(options), Some(path.to_path_buf()));
@@ -166,11 +179,11 @@
         ensure!(same, "options: <membership>: another takes a restart");
         let plans = |c: &Configuration| {
             let shared = c.membership.as_ref().and_then(|fleet| fleet.shared.as_ref());
-            let plans = shared.map(|shared| (shared.gossip, shared.budgets.clone()));
             // A total may change while leases stand.
-            plans.map(|(gossip, plans)| {
-                (gossip, plans.into_iter().map(|plan| Plan { total: 0, ..plan }).collect::<Vec<_>>())
-            })
+            let total = |plan: &Plan| Plan { total: 0, ..plan.clone() };
+            let plans = shared.map(|shared| shared.budgets.iter().map(total).collect::<Vec<_>>());
+            let tier = c.membership.as_ref().map(|fleet| fleet.tier.clone());
+            (plans, shared.map(|shared| (shared.gossip, shared.judge.clone())), tier)
         };
         ensure!(plans(self) == plans(&new), "options: <shared-state>: all but a total takes a restart");
         self.addresses.set(new.addresses.get());
--- a/crates/server/src/lifecycle/signals.rs
+++ b/crates/server/src/lifecycle/signals.rs
@@ -54,6 +54,8 @@
     let _ = server.moved.0.try_send(());
     let tenants = server.configuration.options.borrow().tenants.as_ref().map(|t| t.fair.clone());
     if let Some(fair) = tenants {
+        let names = || fair.named.iter().map(|(name, _)| name.as_slice());
+        server.shared.iter().for_each(|shared| shared.name_tenants(names()));
         let _ = server.inputs.send(Input::Retune(Box::new(fair))).await;
     }
 }
--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -48,10 +48,13 @@
     let shared = membership.as_ref().and_then(|(_, given)| Some((given, given.shared.as_ref()?)));
     let shared = shared.map(|(given, settings)| {
         let me = Who { name: given.name.clone(), incarnation };
-        Shared::new(me, settings, configuration.seed ^ incarnation)
+        Shared::new(me, settings, &given.tier, configuration.seed ^ incarnation)
             .map_err(|fault| anyhow!("<shared-state>: {fault}"))
     });
     let shared = shared.transpose()?;
+    if let Some((shared, tenants)) = shared.as_ref().zip(configuration.options.borrow().tenants.as_ref()) {
+        shared.name_tenants(tenants.fair.named.iter().map(|(name, _)| name.as_slice()));
+    }
     let server = Rc::new(Server {
         configuration,
         clock,
--- a/crates/server/src/lifecycle/tasks/decisions.rs
+++ b/crates/server/src/lifecycle/tasks/decisions.rs
@@ -5,6 +5,7 @@
 use crate::memory::connections::Told;
 use crate::memory::invocations::{Invocation, Invocations, Sent};
 use crate::memory::repeats::{Echo, Found, Repeats};
+use crate::memory::tier::Over;
 use crate::wire::interpreter::{self, Notice};
 use crate::wire::resp::WORD_MAX;
 use crate::wire::rpc::Answer;
@@ -12,7 +13,8 @@
 use async_io::Timer;
 use futures_lite::future;
 use meadowstream::brain::{Brain, TICK};
-use meadowstream::{Arrival, Ending, Gauges, Host, Nanos, Sender};
+use meadowstream::{Arrival, Effect, Ending, Gauges, Host, Nanos, Sender};
+use meadowstream_routing::Wish;
 use siphasher::sip::SipHasher13;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -147,9 +149,12 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Arrived { connection, tag, operation, reference, since, held_kb, body, token, sender } => {
+                let shared = self.hands.server.shared.as_ref();
+                let tenant = sender.as_ref().and_then(|sender| shared?.tenant(&sender.tenant));
                 let invocation = Invocation {
                     reference,
                     operation,
+                    tenant,
                     body,
                     connection,
                     tag,
@@ -160,6 +165,7 @@
                     stopping: None,
                     asked: Vec::new(),
                     call: None,
+                    called: None,
                 };
                 self.arrived(invocation, since, held_kb, token, sender);
             }
@@ -408,6 +414,20 @@
             Answer::Throttled { .. } => counters.throttled.add(),
             _ => counters.errored.add(),
         }
+        if let Some(shared) = &self.server.shared {
+            let settings = &self.server.configuration.settings;
+            let (operation, tenant) = (invocation.operation, invocation.tenant.as_deref());
+            let name = &settings.operation_names[operation];
+            let billed = settings.deployment.operations[operation].billed_value * 1000.0;
+            match &answer {
+                Answer::Succeeded(_) => {
+                    shared.count("succeeded", name, tenant, 1);
+                    shared.count("billed-thousandths", name, tenant, billed.round().max(0.0) as u64);
+                }
+                Answer::Throttled { .. } => shared.count("throttled", name, tenant, 1),
+                _ => shared.count("errored", name, tenant, 1),
+            }
+        }
         invocation.connection.tell(Told::Answer(invocation.tag, answer));
         self.over(inv);
     }
@@ -428,7 +448,7 @@
         let call = self.invocations.get(inv).and_then(|invocation| invocation.call.take());
         if let Some((number, _)) = call {
             self.server.counters.calls_dropped.add();
-            self.server.shared.iter().for_each(|shared| shared.ended(number, false));
+            self.server.shared.iter().for_each(|shared| shared.ended(number, false, Over::GivenUp));
         }
     }
 
@@ -455,7 +475,8 @@
         if invocation.call.take_if(|call| call.0 == number).is_none() {
             return false;
         }
-        self.server.shared.iter().for_each(|shared| shared.ended(number, ending != Ending::Unknown));
+        let over = if ending == Ending::Succeeded { Over::Good } else { Over::Bad };
+        self.server.shared.iter().for_each(|shared| shared.ended(number, ending != Ending::Unknown, over));
         let counters = &self.server.counters;
         match ending {
             Ending::Succeeded => counters.calls_succeeded.add(),
@@ -472,6 +493,15 @@
         true
     }
 
+    /// What the call of an invocation wants of a service below. Only a first attempt of what may be repeated
+    /// is spent on a probe.
+    fn wish(&mut self, inv: u64) -> Wish {
+        let operations = &self.server.configuration.settings.deployment.operations;
+        let Some(invocation) = self.invocations.get(inv) else { return Wish::default() };
+        let idempotent = operations[invocation.operation].effect == Effect::Idempotent;
+        Wish { last: invocation.called, may_probe: idempotent && invocation.called.is_none() }
+    }
+
     /// What this wire cannot carry was refused at the start; should it be asked for all the same, the
     /// invocation ends with an error.
     fn cannot(&mut self, inv: u64, what: &str) {
@@ -515,18 +545,22 @@
         self.answer(inv, Answer::Errored);
     }
 
-    fn may_call(&mut self, waiting: usize) -> bool {
-        self.server.shared.as_ref().is_none_or(|shared| shared.may_call(waiting))
+    fn may_call(&mut self, inv: u64, waiting: usize) -> bool {
+        let wish = self.wish(inv);
+        self.server.shared.as_ref().is_none_or(|shared| shared.may_call(waiting, wish))
     }
 
     fn call(&mut self, inv: u64, timeout: Nanos) {
         let Some(to) = self.server.configuration.addresses.get().records else {
             return self.cannot(inv, "a call");
         };
-        let number = self.number();
+        let (number, wish) = (self.number(), self.wish(inv));
         let Some(invocation) = self.invocations.get(inv) else { return };
         let (reference, body) = (invocation.reference, invocation.asked.clone());
-        let timeout = self.server.shared.as_ref().map_or(timeout, |shared| shared.called(number, timeout));
+        let shared = self.server.shared.as_ref();
+        let (timeout, place) = shared.map_or((timeout, None), |shared| shared.called(number, timeout, wish));
+        invocation.called = place.as_ref().map(|place| place.service);
+        let to = place.map_or(to, |place| place.to);
         let call = Call { inv, number, reference, timeout, body };
         let task = self.server.executor.spawn(call::make(self.server.clone(), to, call));
         invocation.call = Some((number, task));
--- a/crates/server/src/lifecycle/tasks/fleet.rs
+++ b/crates/server/src/lifecycle/tasks/fleet.rs
@@ -143,12 +143,15 @@
             let _ = server.inputs.try_send(super::Input::RoomBelow);
         }
         let shown = shared.shown();
-        let leases = |s: &crate::memory::shared::Shown| (s.floor, s.leased, s.gives);
+        let leases = |s: &crate::memory::shared::Shown| (s.floor, s.leased, s.gives, s.ejected.clone());
         if leases(&shown) != leases(&self.shown) || now >= self.shown_at + SHOWN_EVERY {
-            (self.shown, self.shown_at) = (shown, now);
             let (totals, tally) = shared.totals();
+            let (routed, services) = shared.tier();
+            let ejected = serde_json::to_string(&shown.ejected).unwrap_or_default();
             info!(target: "fleet", floor = shown.floor, leased = shown.leased, uses = shown.uses,
-                gives = shown.gives, outstanding = shown.outstanding, totals, tally, "shared");
+                gives = shown.gives, outstanding = shown.outstanding, ejected, services, routed, totals, tally,
+                "shared");
+            (self.shown, self.shown_at) = (shown, now);
         }
     }
 }
--- a/crates/server/src/memory/invocations.rs
+++ b/crates/server/src/memory/invocations.rs
@@ -8,6 +8,8 @@
 pub struct Invocation {
     pub reference: u64,
     pub operation: usize,
+    /// Its tenant, where the fleet counts that one by name.
+    pub tenant: Option<String>,
     pub body: Vec<u8>,
     pub connection: Rc<Connection>,
     pub tag: u64,
@@ -24,6 +26,8 @@
     pub asked: Vec<u8>,
     /// The call under way and its number; dropped, it is given up.
     pub call: Option<(u64, Task<()>)>,
+    /// The service of the tier below that its last call went to.
+    pub called: Option<usize>,
 }
 
 pub struct Sent {
--- a/crates/server/src/memory/mod.rs
+++ b/crates/server/src/memory/mod.rs
@@ -7,3 +7,4 @@
 pub mod pool;
 pub mod repeats;
 pub mod shared;
+pub mod tier;
--- a/crates/server/src/memory/pool.rs
+++ b/crates/server/src/memory/pool.rs
@@ -40,16 +40,19 @@
         }
     }
 
-    /// Passes over one that the other side has closed or on which it has said something unasked, and one
-    /// to where calls went before a reload.
+    /// Passes over one that the other side has closed or on which it has said something unasked. Those to
+    /// other services stay; what goes nowhere any more after a reload is closed as it ends.
     fn take_idle(&self, to: SocketAddr, now: Instant) -> Option<Pooled> {
         self.close_old();
         loop {
             let mut idle = self.idle.borrow_mut();
-            let last = idle.iter().rposition(|(_, since)| now.duration_since(*since) >= QUIET_FOR)?;
+            let fits = |(pooled, since): &(Pooled, Instant)| {
+                pooled.to == to && now.duration_since(*since) >= QUIET_FOR
+            };
+            let last = idle.iter().rposition(fits)?;
             let (pooled, _) = idle.remove(last);
             let quiet = pooled.stream.get_ref().peek(&mut [0]);
-            if pooled.to == to && quiet.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock) {
+            if quiet.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock) {
                 return Some(pooled);
             }
         }
--- a/crates/server/src/memory/shared.rs
+++ b/crates/server/src/memory/shared.rs
@@ -2,54 +2,81 @@
 //! and readings of both clocks. The fleet's task and the module's owner both use it, on the one thread.
 
 use crate::memory::counters::Counters;
+use crate::memory::tier::{Over, Tier};
+use meadowstream_routing::Wish;
 use meadowstream_shared_state::clock::{Reading, Time};
 use meadowstream_shared_state::permits::Permits;
 use meadowstream_shared_state::{Settings, SharedState, Who};
 use std::cell::RefCell;
+use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 pub struct Shared {
     inner: RefCell<Inner>,
+    /// Tenants that are counted by name: those that the options name.
+    named: RefCell<HashSet<Vec<u8>>>,
     began: Instant,
 }
 
 struct Inner {
     state: SharedState,
     permits: Permits,
+    /// Where calls go to one of several services below.
+    tier: Option<Tier>,
     /// The module was told that there is no room, and wants to hear when there is.
     refused: bool,
     counted: [u64; 4],
+    /// Counts that found no room.
+    uncounted: u64,
 }
 
 /// What the log says of it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Shown {
     pub floor: u64,
     pub leased: u64,
     pub uses: u64,
     pub gives: bool,
     pub outstanding: u64,
+    /// Services below that are ejected, by name.
+    pub ejected: Vec<String>,
+}
+
+/// Where a call goes, in place of the address of the configuration.
+pub struct Place {
+    pub service: usize,
+    pub to: SocketAddr,
 }
 
 impl Shared {
-    pub fn new(me: Who, settings: &Settings, seed: u64) -> Result<Shared, String> {
+    /// `tier` are the addresses of the services that the settings judge, in their order.
+    pub fn new(me: Who, settings: &Settings, tier: &[SocketAddr], seed: u64) -> Result<Shared, String> {
         let began = Instant::now();
         let reading = Reading { monotonic: 0, wall: wall() };
         let state = SharedState::new(me, settings.clone(), seed, reading)?;
-        let inner = Inner { state, permits: Permits::default(), refused: false, counted: [0; 4] };
-        Ok(Shared { inner: RefCell::new(inner), began })
+        let tier = settings.judge.as_ref().map(|judge| Tier::new(tier.to_vec(), judge.expiry, seed));
+        let tier = tier.transpose()?;
+        let inner =
+            Inner { state, permits: Permits::default(), tier, refused: false, counted: [0; 4], uncounted: 0 };
+        Ok(Shared { inner: RefCell::new(inner), named: RefCell::default(), began })
     }
 
     fn reading(&self) -> Reading {
         Reading { monotonic: self.began.elapsed().as_nanos() as u64, wall: wall() }
     }
 
-    /// Whether one more call may go out; where not, so many wait.
-    pub fn may_call(&self, waiting: usize) -> bool {
+    /// Whether one more call may go out; where not, so many wait. The fleet's budget and its judgements of the
+    /// services below both have a say.
+    pub fn may_call(&self, waiting: usize, wish: Wish) -> bool {
         let reading = self.reading();
         let mut inner = self.inner.borrow_mut();
-        let Inner { state, permits, refused, .. } = &mut *inner;
+        let Inner { state, permits, tier, refused, .. } = &mut *inner;
         let time = state.read(reading);
+        if tier.as_ref().is_some_and(|tier| !tier.has_room(reading.monotonic, wish)) {
+            *refused = true;
+            return false;
+        }
         let Some(budget) = state.budgets.first() else { return true };
         let may = budget.may_take(time, permits.uses(time));
         if !may {
@@ -59,22 +86,54 @@
         may
     }
 
-    /// A call goes out; it is given up after so many nanoseconds at the latest.
-    pub fn called(&self, number: u64, timeout: u64) -> u64 {
+    /// A call goes out; it is given up after so many nanoseconds at the latest. Where it goes, if to one of a
+    /// tier.
+    pub fn called(&self, number: u64, timeout: u64, wish: Wish) -> (u64, Option<Place>) {
         let reading = self.reading();
         let mut inner = self.inner.borrow_mut();
         let time = inner.state.read(reading);
         inner.permits.taken(time, number);
-        inner.state.budgets.first().map_or(timeout, |budget| timeout.min(budget.plan().use_most))
+        let place = inner.tier.as_mut().map(|tier| tier.call(reading.monotonic, number, wish));
+        let most = inner.state.budgets.first().map_or(timeout, |budget| timeout.min(budget.plan().use_most));
+        (most, place.map(|(service, to)| Place { service, to }))
     }
 
     /// A call is over; `surely` where what lies below is known to be done with it.
-    pub fn ended(&self, number: u64, surely: bool) {
+    pub fn ended(&self, number: u64, surely: bool, over: Over) {
+        let reading = self.reading();
         let mut inner = self.inner.borrow_mut();
+        let time = inner.state.read(reading);
+        let Inner { state, tier, .. } = &mut *inner;
+        if let Some((tier, judge)) = tier.as_mut().zip(state.judge.as_mut()) {
+            tier.ended(reading.monotonic, time, number, over, judge);
+        }
         let use_most = inner.state.budgets.first().map_or(0, |budget| budget.plan().use_most);
         inner.permits.ended(number, surely, use_most);
     }
 
+    /// Tenants counted by name from now on.
+    pub fn name_tenants<'a>(&self, names: impl Iterator<Item = &'a [u8]>) {
+        *self.named.borrow_mut() = names.map(<[u8]>::to_vec).collect();
+    }
+
+    /// The tenant's name in keys of counts; `None` for those that are not counted by name, so that peers
+    /// cannot make up keys.
+    pub fn tenant(&self, name: &[u8]) -> Option<String> {
+        self.named.borrow().contains(name).then(|| String::from_utf8_lossy(name).into_owned())
+    }
+
+    /// Counts for the whole fleet: `what/operation` and, for a named tenant, `what/operation/tenant`. What
+    /// finds no room among the keys is not counted, and the log says how often.
+    pub fn count(&self, what: &str, operation: &str, tenant: Option<&str>, more: u64) {
+        let mut inner = self.inner.borrow_mut();
+        let of_all = format!("{what}/{operation}");
+        let of_tenant = tenant.map(|tenant| format!("{of_all}/{tenant}"));
+        for key in std::iter::once(of_all).chain(of_tenant) {
+            let counted = inner.state.counts.add(&key, more);
+            inner.uncounted += u64::from(!counted);
+        }
+    }
+
     /// A total from a reload; `Err` leaves the old one.
     pub fn set_total(&self, total: u64) -> Result<(), String> {
         self.inner.borrow_mut().state.budgets.iter_mut().try_for_each(|budget| budget.set_total(total))
@@ -95,7 +154,7 @@
     pub fn advance(&self, alive: &[String], counters: &Counters) -> (Vec<(String, Vec<u8>)>, bool) {
         let reading = self.reading();
         let mut inner = self.inner.borrow_mut();
-        let Inner { state, permits, refused, counted } = &mut *inner;
+        let Inner { state, permits, tier, refused, counted, .. } = &mut *inner;
         let time = state.read(reading);
         let now = [&counters.invocations, &counters.succeeded, &counters.throttled, &counters.errored];
         for ((key, now), counted) in COUNTED.iter().zip(now).zip(counted) {
@@ -108,11 +167,20 @@
             budget.note_use(wants, uses);
         }
         state.advance(reading, alive);
+        if let Some((tier, judge)) = tier.as_mut().zip(state.judge.as_ref())
+            && tier.judged(reading.monotonic, time, judge)
+        {
+            let ejected: Vec<&String> = tier.ejected.iter().map(|i| &judge.settings().services[*i]).collect();
+            let accusers: Vec<usize> = tier.ejected.iter().map(|i| judge.accusers(time, *i)).collect();
+            tracing::info!(target: "fleet", ?ejected, ?accusers, alone = judge.is_alone(time), "judged");
+        }
+        let may_probe = Wish { last: None, may_probe: true };
+        let open = tier.as_ref().is_none_or(|tier| tier.has_room(reading.monotonic, may_probe));
         let free = |time: Time, permits: &mut Permits| {
             let uses = permits.uses(time);
             state.budgets.first().is_none_or(|budget| budget.may_take(time, uses))
         };
-        let again = *refused && free(time, permits);
+        let again = *refused && open && free(time, permits);
         *refused &= !again;
         (state.outgoing(), again)
     }
@@ -125,9 +193,12 @@
     pub fn shown(&self) -> Shown {
         let reading = self.reading();
         let mut inner = self.inner.borrow_mut();
-        let Inner { state, permits, .. } = &mut *inner;
+        let Inner { state, permits, tier, .. } = &mut *inner;
         let time = state.read(reading);
-        let Some(budget) = state.budgets.first() else { return Shown::default() };
+        let names = state.judge.as_ref().map(|judge| &judge.settings().services);
+        let ejected = tier.iter().flat_map(|tier| &tier.ejected);
+        let ejected = ejected.filter_map(|i| names?.get(*i).cloned()).collect();
+        let Some(budget) = state.budgets.first() else { return Shown { ejected, ..Shown::default() } };
         let ceiling = budget.ceiling(time);
         Shown {
             floor: ceiling.floor,
@@ -135,15 +206,26 @@
             uses: permits.uses(time),
             gives: budget.is_grantor(time),
             outstanding: budget.outstanding(),
+            ejected,
         }
     }
 
+    /// Calls to the tier below and its services, as JSON for the log; empty where there is none.
+    pub fn tier(&self) -> (String, String) {
+        let reading = self.reading();
+        let mut inner = self.inner.borrow_mut();
+        let time = inner.state.read(reading);
+        let shown = inner.tier.as_ref().zip(inner.state.judge.as_ref());
+        shown.map_or_else(Default::default, |(tier, judge)| tier.shown(time, judge))
+    }
+
     /// The fleet's totals and what was refused, as JSON for the log.
     pub fn totals(&self) -> (String, String) {
         let inner = self.inner.borrow();
         let totals = serde_json::to_string(&inner.state.counts.totals()).unwrap_or_default();
         let budget = inner.state.budgets.first().map(|budget| budget.counts);
-        let tally = (inner.state.tally, budget, inner.state.counts.refused, inner.state.disagreements());
+        let (refused, apart) = (inner.state.counts.refused, inner.state.disagreements());
+        let tally = (inner.state.tally, budget, refused, apart, inner.uncounted);
         (totals, serde_json::to_string(&tally).unwrap_or_default())
     }
 }
--- a/crates/server/tests/fleet_state.rs
+++ b/crates/server/tests/fleet_state.rs
@@ -4,6 +4,7 @@
 use meadowstream_stand_ins::fleet::{Extra, Stage, wait};
 use meadowstream_stand_ins::load::{Answers, flood};
 use meadowstream_stand_ins::parties::{self, Records};
+use meadowstream_stand_ins::tcp_relay::TcpRelay;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
@@ -24,7 +25,7 @@
         LEASE.as_millis()
     );
     let options = if shared { budget } else { String::new() };
-    let extra = Extra { cores: 4.0, records: vec![address; 6], options };
+    let extra = Extra { cores: 4.0, records: vec![address; 6], options, ..Extra::default() };
     let program = Path::new(env!("CARGO_BIN_EXE_meadowstream"));
     (Stage::with(program, 6, started, seed, extra).unwrap(), records)
 }
@@ -61,7 +62,10 @@
     let agree = || {
         let each: Vec<u64> = who.iter().map(|&i| total(stage, i, "invocations")).collect();
         let same = each.iter().all(|count| *count == each[0]);
-        (same && (sent - answers.none..=sent).contains(&each[0])).then_some(())
+        // The same by operation and kind of answer.
+        let answered = |&i: &usize| total(stage, i, "succeeded/load") + total(stage, i, "throttled/load");
+        let by_kind = who.iter().all(|i| answered(i) + answers.errored + answers.none >= sent);
+        (same && by_kind && (sent - answers.none..=sent).contains(&each[0])).then_some(())
     };
     let seen = wait(Duration::from_secs(15), agree);
     assert!(seen.is_some(), "{sent} sent, {:?}", who.iter().map(|&i| stage.shared(i)).collect::<Vec<_>>());
@@ -185,3 +189,156 @@
     assert_eq!((field(&stage, 0, "floor"), field(&stage, 0, "leased")), (FLOOR, 0));
     assert!(stage.said(0, "configuration kept as it was"), "the refusal is in the log");
 }
+
+/// How long a report counts in the tests of judgements.
+const EXPIRY: Duration = Duration::from_millis(2000);
+
+/// Five processes over a tier of four services, each reached through a relay of its own, with a face for each
+/// process.
+struct Tier {
+    stage: Stage,
+    services: Vec<Arc<Records>>,
+    relays: Vec<TcpRelay>,
+}
+
+impl Tier {
+    fn new(seed: u64, reports: usize) -> Tier {
+        let parties: Vec<_> = (0..4).map(|_| parties::records(Duration::from_millis(20)).unwrap()).collect();
+        let relays: Vec<TcpRelay> =
+            parties.iter().map(|(address, _)| TcpRelay::new(5, *address, 9, seed).unwrap()).collect();
+        let own = |i: usize| {
+            let service = |(s, relay): (usize, &TcpRelay)| {
+                format!(r#"<service name="r{s}" address="{}"/>"#, relay.face(i))
+            };
+            let services: String = relays.iter().enumerate().map(service).collect();
+            format!(
+                r#"<shared-state gossip-ms="100"><tier reports="{reports}" eject-share="0.5" expiry-ms="{}">
+                {services}</tier></shared-state>"#,
+                EXPIRY.as_millis()
+            )
+        };
+        let extra = Extra {
+            cores: 4.0,
+            records: vec![parties[0].0; 5],
+            options: r#"<tenants by="sender"><tenant name="1"/></tenants>"#.into(),
+            own_options: (0..5).map(own).collect(),
+        };
+        let program = Path::new(env!("CARGO_BIN_EXE_meadowstream"));
+        let stage = Stage::with(program, 5, 5, seed, extra).unwrap();
+        stage.until_agreed(&[0, 1, 2, 3, 4], Instant::now(), Duration::from_secs(15)).unwrap();
+        Tier { stage, services: parties.into_iter().map(|(_, records)| records).collect(), relays }
+    }
+
+    /// The services that server `i` says are ejected, by its last line.
+    fn ejected(&self, i: usize) -> Vec<String> {
+        let shared = self.stage.shared(i).unwrap_or_default();
+        serde_json::from_str(shared["ejected"].as_str().unwrap_or("[]")).unwrap()
+    }
+
+    /// Until each of `who` says that exactly these are ejected; how long it took.
+    fn until(&self, who: &[usize], these: &[&str], within: Duration) -> Duration {
+        let began = Instant::now();
+        let all = || {
+            who.iter().all(|i| {
+                let mut ejected = self.ejected(*i);
+                ejected.sort();
+                ejected == these
+            })
+        };
+        let seen = wait(within, || all().then_some(()));
+        assert!(seen.is_some(), "{:?}", who.iter().map(|i| self.stage.shared(*i)).collect::<Vec<_>>());
+        began.elapsed()
+    }
+
+    /// What server `i` finds of service `s` by its own calls.
+    fn own(&self, i: usize, s: usize) -> String {
+        let shared = self.stage.shared(i).unwrap_or_default();
+        let services: serde_json::Value =
+            serde_json::from_str(shared["services"].as_str().unwrap_or("[]")).unwrap();
+        services[s]["own"].as_str().unwrap_or("").to_string()
+    }
+
+    /// The most services that any process ever said were ejected at once.
+    fn most_ejected(&self) -> usize {
+        let lines = (0..5).flat_map(|i| self.stage.lines(i, "shared"));
+        let count = |line: serde_json::Value| {
+            let ejected: Vec<String> =
+                serde_json::from_str(line["ejected"].as_str().unwrap_or("[]")).unwrap();
+            ejected.len()
+        };
+        lines.map(count).max().unwrap_or(0)
+    }
+}
+
+#[test]
+fn a_failing_service_is_judged_by_all_and_never_more_than_the_share_is_ejected() {
+    let tier = Tier::new(31, 2);
+    let all = [0, 1, 2, 3, 4];
+    let load = floods(&tier.stage, &all, Duration::from_secs(28));
+    std::thread::sleep(Duration::from_secs(2));
+    assert!(all.iter().all(|i| tier.ejected(*i).is_empty()), "nothing fails yet");
+    tier.services[1].fails.store(true, Relaxed);
+    let judged = tier.until(&all, &["r1"], EXPIRY * 2);
+    let count = |s: usize| tier.services[s].calls.load(Relaxed);
+    let (before, others) = (count(1), [0, 2, 3].map(count).iter().sum::<u64>());
+    std::thread::sleep(Duration::from_secs(3));
+    let (probes, calls) = (count(1) - before, [0, 2, 3].map(count).iter().sum::<u64>() - others);
+    println!("judged by all five after {judged:?}; then {probes} calls to it in 3 s, {calls} to the others");
+    // Each server probes it eight times in the time that a report counts.
+    assert!(probes > 0 && probes <= 5 * 8 * 3 / 2 + 10, "{probes} probes");
+    assert!(calls > 5 * probes, "{calls}, {probes} probes");
+
+    // One that hears nobody goes by what it finds itself: it finds the same, and alone what fails next.
+    tier.stage.relay.set(|f| {
+        f.groups.insert(0, 1);
+        f.partition(0, 1);
+    });
+    let alone = wait(EXPIRY * 3, || {
+        tier.services[2].fails.store(true, Relaxed);
+        let lines = tier.stage.lines(0, "judged");
+        lines.last().is_some_and(|line| line["alone"] == true && tier.ejected(0).len() == 2).then_some(())
+    });
+    assert!(alone.is_some(), "{:?}", tier.stage.lines(0, "judged"));
+    tier.until(&all, &["r1", "r2"], EXPIRY * 2);
+    tier.stage.relay.set(|f| f.heal());
+
+    // Three of four fail: half of them are ejected and no more.
+    tier.services[3].fails.store(true, Relaxed);
+    std::thread::sleep(EXPIRY * 2);
+    assert!((0..5).all(|i| tier.own(i, 3) == "Failing"), "{:?}", tier.stage.shared(1));
+    assert_eq!(tier.most_ejected(), 2);
+    tier.services.iter().for_each(|service| service.fails.store(false, Relaxed));
+    let back = tier.until(&all, &[], EXPIRY * 5);
+    let answers = sum(load);
+    println!("all let in again after {back:?}; {answers:?}");
+    assert_eq!(tier.most_ejected(), 2);
+    assert!(answers.succeeded * 2 > answers.sent, "{answers:?}");
+}
+
+/// A service that one server alone cannot reach: with two reports wanted nobody ejects it and that server goes
+/// round it; with one wanted its word puts it out for all, which is what the second report guards against.
+#[test]
+fn what_one_server_alone_cannot_reach_is_ejected_by_nobody() {
+    for (reports, seed) in [(2, 32), (1, 33)] {
+        let tier = Tier::new(seed, reports);
+        let load = floods(&tier.stage, &[0, 1, 2, 3, 4], Duration::from_secs(9));
+        std::thread::sleep(Duration::from_secs(2));
+        tier.relays[3].set(|f| {
+            f.groups.insert(2, 1);
+            f.partition(1, 9);
+        });
+        let found = wait(Duration::from_secs(5), || (tier.own(2, 3) != "Good").then_some(()));
+        assert!(found.is_some(), "{:?}", tier.stage.shared(2));
+        if reports == 1 {
+            tier.until(&[0, 1, 3, 4], &["r3"], Duration::from_secs(4));
+        }
+        let answers = sum(load);
+        println!("{reports} reports wanted: {answers:?}, at most {} ejected", tier.most_ejected());
+        // Each server comes to know what all have answered to the one named tenant, and what is billed.
+        let of = |i: usize, what: &str| total(&tier.stage, i, &format!("{what}/load/1"));
+        let all = || (0..5).all(|i| of(i, "succeeded") == answers.succeeded).then_some(());
+        assert!(wait(Duration::from_secs(10), all).is_some(), "{:?}", tier.stage.shared(0));
+        assert!((0..5).all(|i| of(i, "billed-thousandths") == 1000 * answers.succeeded));
+        assert_eq!(tier.most_ejected(), 2 - reports);
+    }
+}
--- a/crates/shared-state/src/judge.rs
+++ b/crates/shared-state/src/judge.rs
@@ -120,6 +120,17 @@
         evidence.took += took as f64;
     }
 
+    /// A call of this server's own was given up after so long: evidence against its service only where none
+    /// takes so long that is not slow. Guards against a service that never answers, whose calls all end so;
+    /// what its callers give up early says nothing.
+    pub fn given_up(&mut self, time: Time, service: usize, after: Nanos) {
+        let known = self.evidence.iter().filter(|evidence| evidence.calls >= CALLS_MIN);
+        let (calls, took) = known.fold((0.0, 0.0), |sum, its| (sum.0 + its.calls, sum.1 + its.took));
+        if calls > 0.0 && after as f64 > took / calls * SLOW {
+            self.called(time, service, false, after);
+        }
+    }
+
     /// What this server finds itself.
     pub fn own(&self, time: Time, service: usize) -> Verdict {
         let aged = |evidence: &Evidence| {
--- a/crates/stand-ins/src/fleet.rs
+++ b/crates/stand-ins/src/fleet.rs
@@ -43,6 +43,8 @@
     pub records: Vec<SocketAddr>,
     /// Elements of the options beside `<membership>`.
     pub options: String,
+    /// More of them, for each server its own.
+    pub own_options: Vec<String>,
 }
 
 /// Processes of the program behind a relay.
@@ -123,9 +125,10 @@
       announce-period-ms="1000" expected-members="{n}">
     <seed address="{seed}"/>
   </membership>
-  {extra}
+  {extra}{own}
 </meadowstream>"#,
             extra = self.extra.options,
+            own = self.extra.own_options.get(i).map_or("", String::as_str),
             face = self.relay.face(i),
             seed = self.relay.face(0),
             n = self.processes.len(),
@@ -244,6 +247,14 @@
         Some(shared["fields"].clone())
     }
 
+    /// All of server `i`'s log lines of such a message, by their fields.
+    pub fn lines(&self, i: usize, message: &str) -> Vec<Value> {
+        let Some(process) = &self.processes[i] else { return Vec::new() };
+        let lines = process.lines.lock().expect("lines");
+        let of = lines.iter().filter(|(_, l)| l["fields"]["message"] == message);
+        of.map(|(_, l)| l["fields"].clone()).collect()
+    }
+
     /// The folder of its files: `s{i}.json`, `s{i}.xml` and the key.
     pub fn folder(&self) -> &Path {
         &self.folder
--- a/crates/stand-ins/src/parties.rs
+++ b/crates/stand-ins/src/parties.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 
 /// What the records service has had in its hands. A call stays there for its time, given up or not.
@@ -17,6 +17,8 @@
     /// Calls in its hands now, and the most at once since this was last set to 0.
     pub open: AtomicU64,
     pub most: AtomicU64,
+    /// Answers at once that it failed.
+    pub fails: AtomicBool,
 }
 
 /// Answers each call with 200 after so long; a thread for each connection, all end with the process.
@@ -56,6 +58,10 @@
         reader.read_exact(&mut body)?;
         let takes = records.takes.load(Relaxed);
         records.calls.fetch_add(1, Relaxed);
+        if records.fails.load(Relaxed) {
+            reader.get_mut().write_all(b"HTTP/1.1 500 failed\r\nContent-Length: 0\r\n\r\n")?;
+            continue;
+        }
         records.held.fetch_add(takes, Relaxed);
         let open = records.open.fetch_add(1, Relaxed) + 1;
         records.most.fetch_max(open, Relaxed);
