--- a/crates/meadowstream/benches/arrival.rs
+++ b/crates/meadowstream/benches/arrival.rs
@@ -63,6 +63,7 @@
         survivable_crowd: 1.0,
         cold: false,
         cold_speed: 1.0,
+        reference: 0.9,
         cold_for: 1,
     }
 }
--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -23,8 +23,7 @@
 /// the period.
 const RETURNS: f64 = 4.0;
 const PASSING: f64 = 0.02;
-/// Busy share of the cores to steer to, and under which they idle.
-const REFERENCE: f64 = 0.9;
+/// Busy share of the cores under which they idle.
 const IDLE: f64 = 0.25;
 /// Usual time unread as a share of a run's, and the share of the shortest objective that is a flood.
 const UNREAD_USUAL: f64 = 0.5;
@@ -176,7 +175,7 @@
             Learned { work: time.clone(), whole: time, base: f64::INFINITY, hint: Decaying::new(memory, now) }
         };
         let learned: Vec<Learned> = site.operations.iter().map(learned).collect();
-        let fit = Fit::new(&Plant { a: 0.0, b: [-REFERENCE; 2] }, FIT_DOUBT, FIT_FORGETTING);
+        let fit = Fit::new(&Plant { a: 0.0, b: [-site.reference; 2] }, FIT_DOUBT, FIT_FORGETTING);
         host.wake(ChaCha8Rng::seed_from_u64(seed).random_range(0..PERIOD), TICK);
         Self {
             now,
@@ -192,7 +191,7 @@
             tenants: site.tenant_allowance.iter().map(|each| (each / site.peers, now)).collect(),
             fair: site.fair.clone().map(|mut settings| {
                 settings.longest = site.stay_away_max;
-                Fair::new(settings, site.cores * REFERENCE, seed, now)
+                Fair::new(settings, site.cores * site.reference, seed, now)
             }),
             tokens: Table::default(),
             unread_for: Decaying::new(PERIOD / 2, now),
@@ -349,7 +348,7 @@
             self.regulate(busy, host);
             if let Some(fair) = &mut self.fair {
                 let shortest = self.site.operations.iter().map(|op| op.latency_objective).min();
-                let capacity = self.able.limit.floor() * REFERENCE;
+                let capacity = self.able.limit.floor() * self.site.reference;
                 fair.set_level(now, capacity, capacity * shortest.unwrap_or(PERIOD) as f64 * SHARE_HELD);
             }
             self.set_idle_limit(host);
@@ -401,16 +400,16 @@
     /// Once a period: from measured utilisation to the refusal ratios of basic and premium.
     fn regulate(&mut self, busy: f64, host: &mut dyn Host) {
         let output = busy.max(f64::from(self.calls_full()));
-        self.spare = output > busy && busy < REFERENCE;
+        self.spare = output > busy && busy < self.site.reference;
         let backlog = self.backlog();
         let r = &mut self.regulator;
-        let error = output - REFERENCE;
+        let error = output - self.site.reference;
         if r.ratio[1] > 0.0 {
             r.fit.learn(r.output, r.ratio, output);
             r.varied = r.varied * FIT_FORGETTING + (r.output - output).abs() * r.ratio[1];
         }
         r.output = output;
-        let prior = Plant { a: 0.0, b: [-output.max(REFERENCE); 2] };
+        let prior = Plant { a: 0.0, b: [-output.max(self.site.reference); 2] };
         let fitted = r.fit.plant();
         // Retries, a neighbour or a cold start bend it: of the wrong sign or unstable it is not believed.
         let sound =
@@ -477,9 +476,9 @@
     fn learn_limit(&mut self, busy: f64) {
         let waiting = !self.invs.hold.is_empty() && self.running() + 1.0 > self.able.limit;
         let slowed = self.learned.iter().any(|l| l.work.mean() > l.base * SLOWED);
-        if waiting && busy < REFERENCE {
+        if waiting && busy < self.site.reference {
             self.able.limit *= LIMIT_UP;
-        } else if slowed || busy > REFERENCE {
+        } else if slowed || busy > self.site.reference {
             self.able.limit *= LIMIT_DOWN;
         }
         self.able.limit = self.able.limit.clamp(self.site.cores, self.crowd().max(self.site.cores));
@@ -630,7 +629,7 @@
 
     /// A leaving server goes on for its grace where what the others keep free would not carry its work.
     fn tell_callers(&mut self, host: &mut dyn Host) -> Option<()> {
-        let needed = (self.site.peers - 1.0) * (1.0 - REFERENCE) < 1.0;
+        let needed = (self.site.peers - 1.0) * (1.0 - self.site.reference) < 1.0;
         let here = self.leave.is_none_or(|(last, _)| needed && self.now < last);
         let healthy = here && self.sick() <= 0.0;
         let value = match self.site.advert {
@@ -813,6 +812,11 @@
         self.fair.iter_mut().for_each(|fair| fair.retune(settings, now));
     }
 
+    /// The busy share of the cores to steer to, from now on.
+    pub fn steer_to(&mut self, reference: f64) {
+        self.site.reference = reference;
+    }
+
     /// What is known of tenants, where they are told apart.
     pub fn fair(&mut self) -> Option<&mut Fair> {
         self.fair.as_mut()
--- a/crates/meadowstream/src/lib.rs
+++ b/crates/meadowstream/src/lib.rs
@@ -49,6 +49,9 @@
     fn log(&mut self, line: &str);
 }
 
+/// The busy share that DESIGN steers to.
+pub const REFERENCE: f64 = 0.9;
+
 /// What the operator's settings say, as far as decisions read them.
 #[derive(Clone, Debug)]
 pub struct Deployment {
@@ -65,6 +68,8 @@
     /// Invocations here are calls of a tier above, which has already worked for them.
     pub called_by_own: bool,
     pub cores: f64,
+    /// Busy share of the cores to steer to.
+    pub reference: f64,
     pub memory_kb: f64,
     pub run_memory: f64,
     pub entry_kb: f64,
--- a/crates/meadowstream/tests/days.rs
+++ b/crates/meadowstream/tests/days.rs
@@ -153,6 +153,7 @@
         survivable_crowd: rng.random_range(2.0..9.0),
         cold: rng.random_bool(0.3),
         cold_speed: 0.2,
+        reference: 0.9,
         cold_for: 4000 * MS,
     }
 }
--- a/crates/meadowstream/tests/scenarios.rs
+++ b/crates/meadowstream/tests/scenarios.rs
@@ -153,6 +153,7 @@
             survivable_crowd: 5.0,
             cold: false,
             cold_speed: 0.2,
+            reference: 0.9,
             cold_for: 10_000 * MS,
         };
         Self {
--- a/crates/options/src/lib.rs
+++ b/crates/options/src/lib.rs
@@ -4,6 +4,7 @@
 
 use anyhow::{Context, Result, anyhow, bail, ensure};
 use meadowstream_fair::Settings;
+use meadowstream_rollout::plan::{OnWorse, Plan, Size, Stage, Thresholds};
 use roxmltree::{Document, Node, ParsingOptions};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -111,8 +112,24 @@
     pub tier: Option<Tier>,
 }
 
+/// How this server takes part in changes by stages (`docs/rollout.md`).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rollout {
+    /// The file with the settings of a change, as written (relative to the options file).
+    pub candidate: PathBuf,
+    /// Servers that run at once, coordinators included, at most; who elects the holder of the lease on
+    /// rollouts, and how long it lasts, in nanoseconds.
+    pub servers: u64,
+    pub voters: Vec<String>,
+    pub lease: u64,
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Options {
+    /// Busy share of the cores to steer to, where it is not the usual one.
+    pub reference: Option<f64>,
+    /// Off where absent; goes with `membership`.
+    pub rollout: Option<Rollout>,
     pub tenants: Option<Tenants>,
     pub tokens: Option<Tokens>,
     /// Off where absent.
@@ -195,21 +212,123 @@
     }
 }
 
+fn text_of(path: &Path) -> Result<String> {
+    let size = std::fs::metadata(path).with_context(|| format!("cannot read {}", path.display()))?.len();
+    ensure!(size <= FILE_MAX, "{}: {size} bytes are more than {FILE_MAX}", path.display());
+    std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))
+}
+
+fn parse(text: &str) -> Result<Document<'_>> {
+    let limits = ParsingOptions { nodes_limit: 200_000, ..ParsingOptions::default() };
+    Document::parse_with_options(text, limits).map_err(|fault| {
+        let at = fault.pos();
+        anyhow!("line {}, column {}: {fault}", at.row, at.col)
+    })
+}
+
+/// A plan of a change by stages as its file has it: the root `<plan>` of the same namespace
+/// (`docs/rollout.md`).
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlanFile {
+    /// The file with the settings of the change, as written (relative to the plan's file).
+    pub candidate: PathBuf,
+    /// All but the candidate's hash, which is 0 here.
+    pub plan: Plan,
+}
+
+/// The attributes of `<plan>` and `<stage>`, each read below.
+pub const PLAN: &[&str] = &[
+    "name",
+    "candidate",
+    "on-worse",
+    "interval-ms",
+    "settled-ms",
+    "patience-ms",
+    "throttled",
+    "errored",
+    "late",
+    "latency",
+    "alpha",
+];
+pub const STAGE: &[&str] = &["servers", "share", "bake-ms"];
+
+impl PlanFile {
+    pub fn load(path: &Path) -> Result<Self> {
+        Self::read(&text_of(path)?).with_context(|| path.display().to_string())
+    }
+
+    /// Every fault names its line and element, and those of stages their number.
+    pub fn read(text: &str) -> Result<Self> {
+        let document = parse(text)?;
+        let root = Element::new(&document, document.root_element(), PLAN)?;
+        let name = document.root_element().tag_name();
+        ensure!(
+            name.name() == "plan" && name.namespace() == Some(NAMESPACE),
+            "{}: the root is to be <plan xmlns={NAMESPACE:?}>",
+            root.at()
+        );
+        let needs = |name: &str| root.text(name).with_context(|| format!("{}: {name} is missing", root.at()));
+        let on_worse = match root.text("on-worse").unwrap_or("roll-back") {
+            "roll-back" => OnWorse::RollBack,
+            "stop" => OnWorse::Stop,
+            other => bail!("{}: on-worse: unknown choice {other:?}", root.at()),
+        };
+        let usual = Thresholds::default();
+        let thresholds = Thresholds {
+            throttled: root.number("throttled", usual.throttled, 1e-6, 1.0)?,
+            errored: root.number("errored", usual.errored, 1e-6, 1.0)?,
+            late: root.number("late", usual.late, 1e-6, 1.0)?,
+            latency: root.number("latency", usual.latency, 1e-6, 100.0)?,
+            alpha: root.number("alpha", usual.alpha, 1e-9, 0.2)?,
+        };
+        let mut stages = Vec::new();
+        for child in root.children(&["stage"], &["stage"])? {
+            let stage = Element::new(&document, child, STAGE)?;
+            let number = stages.len() + 1;
+            ensure!(stage.text("bake-ms").is_some(), "{}: stage {number}: bake-ms is missing", stage.at());
+            let size = match (stage.text("servers"), stage.text("share")) {
+                (Some(_), None) => Size::Servers(stage.get("servers", 0)?),
+                (None, Some(_)) => Size::Share(stage.get("share", 0.0)?),
+                _ => bail!("{}: stage {number}: either servers or share", stage.at()),
+            };
+            stages.push(Stage { size, bake: stage.span("bake-ms", 0, 0, 604_800_000)? });
+        }
+        let interval = root.span("interval-ms", 1_000_000_000, 50, 60_000)?;
+        let plan = Plan {
+            name: needs("name")?.to_string(),
+            candidate: 0,
+            stages,
+            on_worse,
+            thresholds,
+            interval,
+            settled: root.span("settled-ms", 5_000_000_000, 0, 600_000)?,
+            patience: root.span("patience-ms", 30_000_000_000, 50, 3_600_000)?,
+        };
+        plan.check().map_err(|fault| anyhow!("{}: {fault}", root.at()))?;
+        Ok(PlanFile { candidate: PathBuf::from(needs("candidate")?), plan })
+    }
+}
+
 impl Options {
+    /// What a change names takes the place of what stands here; what it does not name stays.
+    pub fn overlay(&mut self, change: Options) {
+        fn put<T>(own: &mut Option<T>, new: Option<T>) {
+            if new.is_some() {
+                *own = new;
+            }
+        }
+        put(&mut self.reference, change.reference);
+        put(&mut self.tenants, change.tenants);
+        put(&mut self.tokens, change.tokens);
+        put(&mut self.left_out, change.left_out);
+    }
+
     pub fn load(path: &Path) -> Result<Self> {
-        let size = std::fs::metadata(path).with_context(|| format!("cannot read {}", path.display()))?.len();
-        ensure!(size <= FILE_MAX, "{}: {size} bytes are more than {FILE_MAX}", path.display());
-        let text =
-            std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
-        Self::read(&text).with_context(|| path.display().to_string())
+        Self::read(&text_of(path)?).with_context(|| path.display().to_string())
     }
 
     pub fn read(text: &str) -> Result<Self> {
-        let limits = ParsingOptions { nodes_limit: 200_000, ..ParsingOptions::default() };
-        let document = Document::parse_with_options(text, limits).map_err(|fault| {
-            let at = fault.pos();
-            anyhow!("line {}, column {}: {fault}", at.row, at.col)
-        })?;
+        let document = parse(text)?;
         let root = Element::new(&document, document.root_element(), &[])?;
         let name = document.root_element().tag_name();
         ensure!(
@@ -218,11 +337,16 @@
             root.at()
         );
         let mut options = Self::default();
-        for node in root.children(&["tenants", "tokens", "calls", "membership", "shared-state"], &[])? {
+        for node in root.children(CHILDREN, &[])? {
             match node.tag_name().name() {
                 "tenants" => options.tenants = Some(tenants(&document, node)?),
                 "tokens" => options.tokens = Some(tokens(&document, node)?),
                 "membership" => options.membership = Some(membership(&document, node)?),
+                "rollout" => options.rollout = Some(rollout(&document, node)?),
+                "control" => {
+                    let control = Element::new(&document, node, &["reference"])?;
+                    options.reference = Some(control.number("reference", 0.9, 0.05, 1.0)?);
+                }
                 "shared-state" => options.shared_state = Some(shared_state(&document, node)?),
                 _ => {
                     let calls = Element::new(&document, node, &["left-out"])?;
@@ -239,10 +363,42 @@
             options.shared_state.is_none() || options.membership.is_some(),
             "<shared-state>: goes with <membership>, which is absent"
         );
+        ensure!(
+            options.rollout.is_none() || options.membership.is_some(),
+            "<rollout>: goes with <membership>, which is absent"
+        );
         Ok(options)
     }
 }
 
+const CHILDREN: &[&str] = &["tenants", "tokens", "calls", "membership", "shared-state", "rollout", "control"];
+
+/// The attributes of `<rollout>`, each read below.
+pub const ROLLOUT: &[&str] = &["candidate", "servers", "lease-ms"];
+
+fn rollout<'d>(document: &Document<'d>, node: Node<'_, 'd>) -> Result<Rollout> {
+    let element = Element::new(document, node, ROLLOUT)?;
+    let candidate =
+        element.text("candidate").with_context(|| format!("{}: candidate is missing", element.at()))?;
+    ensure!(element.text("servers").is_some(), "{}: servers is missing", element.at());
+    Ok(Rollout {
+        candidate: PathBuf::from(candidate),
+        servers: element.whole("servers", 0, 1, 100_000)? as u64,
+        voters: voters(document, &element)?,
+        lease: element.span("lease-ms", 4_000_000_000, 100, 600_000)?,
+    })
+}
+
+fn voters<'d>(document: &Document<'d>, element: &Element<'_, 'd>) -> Result<Vec<String>> {
+    let mut voters = Vec::new();
+    for child in element.children(&["voter"], &["voter"])? {
+        let voter = Element::new(document, child, &["name"])?;
+        let name = voter.text("name").with_context(|| format!("{}: name is missing", voter.at()))?;
+        voters.push(name.to_string());
+    }
+    Ok(voters)
+}
+
 /// A field of a call that means nothing else.
 fn free_field<'a>(element: &Element<'a, '_>, what: &str) -> Result<&'a str> {
     let field = element.text("field").with_context(|| format!("{}: field is missing", element.at()))?;
@@ -381,12 +537,7 @@
         ensure!(element.text(name).is_some(), "{}: {name} is missing", element.at());
         element.whole(name, 0, 1, 1 << 40).map(|whole| whole as u64)
     };
-    let mut voters = Vec::new();
-    for child in element.children(&["voter"], &["voter"])? {
-        let voter = Element::new(document, child, &["name"])?;
-        let name = voter.text("name").with_context(|| format!("{}: name is missing", voter.at()))?;
-        voters.push(name.to_string());
-    }
+    let voters = voters(document, &element)?;
     let name = element.text("name").with_context(|| format!("{}: name is missing", element.at()))?;
     Ok(Budget {
         name: name.to_string(),
--- a/crates/options/tests/options.rs
+++ b/crates/options/tests/options.rs
@@ -98,6 +98,10 @@
         .chain(meadowstream_options::MEMBERSHIP)
         .chain(meadowstream_options::BUDGET)
         .chain(meadowstream_options::TIER)
+        .chain(meadowstream_options::ROLLOUT)
+        .chain(meadowstream_options::PLAN)
+        .chain(meadowstream_options::STAGE)
+        .chain(&["reference"])
         .map(|name| name.to_string())
         .collect();
     assert_eq!(named("attribute"), read);
@@ -196,3 +200,33 @@
         assert!(shape.contains(&format!("attribute name=\"{name}\"")), "{name} is not in the schema");
     }
 }
+
+const PLAN_XML: &str = r#"<plan xmlns="urn:meadowstream:options:1" name="lower reference" candidate="next.xml" interval-ms="500">
+  <stage servers="1" bake-ms="60000"/>
+  <stage share="0.5" bake-ms="60000"/>
+</plan>"#;
+
+#[test]
+fn a_plan_is_read_and_a_bad_one_refused_in_one_line_with_its_place() {
+    let file = meadowstream_options::PlanFile::read(PLAN_XML).unwrap();
+    assert_eq!((file.plan.stages.len(), file.plan.interval), (2, 500_000_000));
+    for (from, to, place) in [
+        ("share=\"0.5\"", "share=\"0\"", "line 1, <plan>: stage 2: share: 0 is not above 0 and at most 1"),
+        (
+            "share=\"0.5\"",
+            "share=\"1.2\"",
+            "line 1, <plan>: stage 2: share: 1.2 is not above 0 and at most 1",
+        ),
+        ("servers=\"1\" bake-ms=\"60000\"", "servers=\"1\"", "line 2, <stage>: stage 1: bake-ms is missing"),
+        ("servers=\"1\" bake-ms=\"60000\"", "servers=\"1\" bake-ms=\"0\"", "stage 1: bake-ms: at least 6"),
+        ("servers=\"1\"", "servers=\"1\" share=\"0.1\"", "line 2, <stage>: stage 1: either servers or share"),
+        ("name=\"lower reference\"", "", "line 1, <plan>: name is missing"),
+        ("<stage share", "<step share", "line 3, <step>: unknown element"),
+        ("interval-ms", "alpha=\"0.9\" interval-ms", "alpha: 0.9 is not within"),
+        ("interval-ms", "on-worse=\"shrug\" interval-ms", "on-worse: unknown choice \"shrug\""),
+    ] {
+        let fault = meadowstream_options::PlanFile::read(&PLAN_XML.replacen(from, to, 1)).unwrap_err();
+        let fault = format!("{fault:#}");
+        assert!(fault.contains(place) && !fault.contains('\n'), "{fault}");
+    }
+}
--- a/crates/rollout/src/canary.rs
+++ b/crates/rollout/src/canary.rs
@@ -66,16 +66,26 @@
     }
 }
 
-/// A class and a figure.
-type Place = (String, Metric);
-
 /// Intervals of a server that its baseline wants.
 pub const BASELINE_MIN: usize = 20;
 
-/// What each server had before: the sum of its values, of their squares, and their count.
+/// A class and a figure.
+type Place = (String, Metric);
+
+/// What each server had before.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Baselines {
-    of: BTreeMap<String, BTreeMap<Place, (f64, f64, u32)>>,
+    of: BTreeMap<String, Vec<Known>>,
+}
+
+/// The sum of the values of one class and figure, of their squares, and their count.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Known {
+    class: String,
+    metric: Option<Metric>,
+    sum: f64,
+    squares: f64,
+    count: u32,
 }
 
 /// A server's mean and the variance of that mean.
@@ -88,24 +98,30 @@
 impl Baselines {
     pub fn add(&mut self, server: &str, figures: &[Figures]) {
         let of = self.of.entry(server.to_string()).or_default();
-        for (place, value) in values(figures) {
-            let known = of.entry(place).or_default();
-            *known = (known.0 + value, known.1 + value * value, known.2 + 1);
+        for ((class, metric), value) in values(figures) {
+            let at = of.iter().position(|known| known.class == class && known.metric == Some(metric));
+            let at = at.unwrap_or_else(|| {
+                of.push(Known { class, metric: Some(metric), ..Known::default() });
+                of.len() - 1
+            });
+            let known = &mut of[at];
+            (known.sum, known.squares) = (known.sum + value, known.squares + value * value);
+            known.count += 1;
         }
     }
 
     /// Intervals known of a server, of whatever it did most.
     pub fn intervals(&self, server: &str) -> usize {
-        let of = self.of.get(server);
-        of.and_then(|of| of.values().map(|(.., count)| *count).max()).unwrap_or(0) as usize
+        self.of.get(server).and_then(|of| of.iter().map(|known| known.count).max()).unwrap_or(0) as usize
     }
 
-    fn before(&self, server: &str, place: &Place) -> Option<Before> {
-        let (sum, squares, count) = *self.of.get(server)?.get(place)?;
-        let n = f64::from(count);
-        let mean = sum / n;
-        let variance = (squares / n - mean * mean).max(0.0) / (n - 1.0);
-        (count >= 3).then_some(Before { mean, variance })
+    fn before(&self, server: &str, (class, metric): &Place) -> Option<Before> {
+        let mut of = self.of.get(server)?.iter();
+        let known = of.find(|known| known.class == *class && known.metric == Some(*metric))?;
+        let n = f64::from(known.count);
+        let mean = known.sum / n;
+        let variance = (known.squares / n - mean * mean).max(0.0) / (n - 1.0);
+        (known.count >= 3).then_some(Before { mean, variance })
     }
 }
 
--- a/crates/server/src/lifecycle/configuration.rs
+++ b/crates/server/src/lifecycle/configuration.rs
@@ -1,6 +1,7 @@
 //! What the server is told at its start, from one JSON file, and what of it a reload changes.
 
 use crate::memory::repeats::ENTRY_BYTES;
+use crate::memory::shared::ROLLOUTS;
 use anyhow::{Context, Result, anyhow, bail, ensure};
 use meadowstream::{Advert, Below, Effect};
 use meadowstream_options::Options;
@@ -10,6 +11,7 @@
 use meadowstream_shared_state::counts::Limits;
 use meadowstream_shared_state::judge::Settings as JudgeSettings;
 use serde_json::Value;
+use sha2::{Digest, Sha256};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -42,6 +44,10 @@
     /// This project's own settings and the file they stand in, where there is one.
     pub options: RefCell<Options>,
     pub options_path: Option<PathBuf>,
+    /// Busy share of the cores to steer to; a reload may change it.
+    pub reference: Cell<f64>,
+    /// The settings of a change that this server may be told to go by, where the options name them.
+    pub candidate: RefCell<Option<Candidate>>,
     /// The fleet's view, where `<membership>` is in the options; off otherwise.
     pub membership: Option<Fleet>,
 }
@@ -60,6 +66,33 @@
     pub tier: Vec<SocketAddr>,
 }
 
+/// The settings of a change by stages, as found at the start.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    pub path: PathBuf,
+    /// Says on disk that the server goes by them.
+    pub mark: PathBuf,
+    /// Hash of the server's own options file.
+    pub own: u64,
+    /// Their hash, where the server goes by them.
+    pub adopted: Option<u64>,
+}
+
+/// What settings are known by: the first eight bytes of the SHA-256 of their file.
+pub fn hash_of(bytes: &[u8]) -> u64 {
+    let hash = Sha256::digest(bytes);
+    u64::from_be_bytes(hash[..8].try_into().expect("32 bytes"))
+}
+
+/// The file of a change: an options file with the elements that take the place of the server's own.
+pub fn read_change(path: &Path) -> Result<Options> {
+    let change = Options::load(path)?;
+    let fixed = change.membership.is_some() || change.rollout.is_some() || change.shared_state.is_some();
+    let shown = path.display();
+    ensure!(!fixed, "{shown}: a change cannot hold <membership>, <shared-state> or <rollout>");
+    Ok(change)
+}
+
 /// A shorter key is refused, and so is a longer file.
 const KEY_LEAST: usize = 16;
 const KEY_MOST: usize = 1024;
@@ -80,27 +113,39 @@
     Ok(key)
 }
 
-fn shared(given: &meadowstream_options::SharedState, body_max: usize) -> Result<SharedSettings> {
+/// What the options say is shared; `None` where they name nothing.
+pub fn shared(options: &Options, body_max: usize) -> Result<Option<SharedSettings>> {
+    let (given, rollout) = (options.shared_state.as_ref(), options.rollout.as_ref());
+    if given.is_none() && rollout.is_none() {
+        return Ok(None);
+    }
     let plan = |b: &meadowstream_options::Budget| {
         Plan::new(&b.name, b.total, b.floor, b.servers, b.voters.clone(), b.lease, b.use_most)
     };
+    let of_calls = given.and_then(|given| given.budget.as_ref());
+    let named = of_calls.is_none_or(|budget| budget.name != ROLLOUTS);
+    ensure!(named, "<shared-state>: budget: name: {ROLLOUTS:?} is that of the lease on rollouts");
+    let of_rollouts = rollout.map(|rollout| {
+        let (servers, voters) = (rollout.servers, rollout.voters.clone());
+        Plan::new(ROLLOUTS, 1, 0, servers, voters, rollout.lease, 1)
+    });
     let settings = SharedSettings {
-        budgets: given.budget.iter().map(plan).collect(),
+        budgets: of_calls.map(plan).into_iter().chain(of_rollouts).collect(),
         counts: Limits::default(),
-        judge: given.tier.as_ref().map(|tier| JudgeSettings {
+        judge: given.and_then(|given| given.tier.as_ref()).map(|tier| JudgeSettings {
             services: tier.services.iter().map(|(name, _)| name.clone()).collect(),
             reports: tier.reports,
             share_thousandths: tier.share_thousandths,
             expiry: tier.expiry,
         }),
-        gossip: given.gossip,
+        gossip: given.map_or(500_000_000, |given| given.gossip),
         body_max,
     };
-    settings.check().map_err(|fault| anyhow!("<shared-state>: {fault}"))?;
-    Ok(settings)
+    settings.check().map_err(|fault| anyhow!("<shared-state>, <rollout>: {fault}"))?;
+    Ok(Some(settings))
 }
 
-fn fleet(given: &meadowstream_options::Membership, server: &str, options: &Path) -> Result<Fleet> {
+pub fn fleet(given: &meadowstream_options::Membership, server: &str, options: &Path) -> Result<Fleet> {
     let key_file = options.parent().unwrap_or(Path::new(".")).join(&given.key_file);
     let mut settings = meadowstream_membership::Settings::lan(&given.fleet, &read_key(&key_file)?);
     settings.probe_period = given.probe_period;
@@ -124,12 +169,48 @@
 }
 
 impl Configuration {
-    pub fn load(path: &Path, options: Option<&Path>) -> Result<Self> {
+    /// As the server starts: by the settings of a change where it went by them before, and they are still
+    /// the same. Where they cannot be used it starts by its own.
+    pub fn load_standing(path: &Path, options: Option<&Path>) -> Result<Self> {
+        let own = Self::load(path, options, None)?;
+        let candidate = own.candidate.borrow().clone();
+        let Some(candidate) = candidate else { return Ok(own) };
+        let Ok(mark) = std::fs::read_to_string(&candidate.mark) else { return Ok(own) };
+        let adopted = u64::from_str_radix(mark.trim(), 16).ok();
+        let same = |bytes: &Vec<u8>| Some(hash_of(bytes)) == adopted;
+        let found = std::fs::read(&candidate.path).ok().filter(same);
+        let changed = found.map(|_| Self::load(path, options, Some(&candidate.path)));
+        match changed {
+            Some(Ok(changed)) => {
+                *changed.candidate.borrow_mut() = Some(Candidate { adopted, ..candidate });
+                Ok(changed)
+            }
+            other => {
+                let why = other.and_then(Result::err).map_or("another file".into(), |e| format!("{e:#}"));
+                tracing::warn!(target: "fleet", why, "starts by its own settings, not by those of the change");
+                Ok(own)
+            }
+        }
+    }
+
+    pub fn load(path: &Path, options: Option<&Path>, change: Option<&Path>) -> Result<Self> {
         let text =
             std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
         let mut read = Self::read(&text, path)?;
         if let Some(path) = options {
-            let options = Options::load(path)?;
+            let mut options = Options::load(path)?;
+            if let Some(change) = change {
+                options.overlay(read_change(change)?);
+            }
+            read.reference.set(options.reference.unwrap_or(meadowstream::REFERENCE));
+            let folder = path.parent().unwrap_or(Path::new("."));
+            if let Some(rollout) = &options.rollout {
+                let mut mark = path.as_os_str().to_os_string();
+                mark.push(".adopted");
+                let own = hash_of(&std::fs::read(path)?);
+                let (path, mark) = (folder.join(&rollout.candidate), PathBuf::from(mark));
+                *read.candidate.borrow_mut() = Some(Candidate { path, mark, own, adopted: None });
+            }
             let site = &mut read.settings.deployment;
             if let Some(tenants) = &options.tenants {
                 site.fair = Some(tenants.fair.clone());
@@ -138,8 +219,7 @@
             if let Some(given) = &options.membership {
                 let mut fleet = fleet(given, &read.name, path)?;
                 let body_max = fleet.settings.packet_max;
-                fleet.shared =
-                    options.shared_state.as_ref().map(|given| shared(given, body_max)).transpose()?;
+                fleet.shared = shared(&options, body_max)?;
                 let tier = options.shared_state.as_ref().and_then(|shared| shared.tier.as_ref());
                 let calls = read.addresses.get().records.is_some();
                 ensure!(calls || tier.is_none(), "<tier>: the configuration names no records to call");
@@ -155,7 +235,35 @@
 
     /// Reads the file once more and takes its addresses over; where it cannot be served all stays as it is.
     pub fn reload(&self) -> Result<()> {
-        let new = Self::load(&self.path, self.options_path.as_deref())?;
+        let candidate = self.candidate.borrow().clone();
+        let adopted = candidate.as_ref().and_then(|candidate| Some((candidate, candidate.adopted?)));
+        match adopted {
+            None => self.take_over(None),
+            Some((candidate, hash)) => self.take_over_change(candidate, hash),
+        }
+    }
+
+    /// Goes by the settings of a change, known by their hash, or by its own again; `Err` leaves all as it is.
+    pub fn adopt(&self, change: Option<u64>) -> Result<()> {
+        let candidate = self.candidate.borrow().clone().context("<rollout> is not in the options")?;
+        match change {
+            None => self.take_over(None)?,
+            Some(hash) => self.take_over_change(&candidate, hash)?,
+        }
+        *self.candidate.borrow_mut() = Some(Candidate { adopted: change, ..candidate });
+        Ok(())
+    }
+
+    fn take_over_change(&self, candidate: &Candidate, hash: u64) -> Result<()> {
+        let shown = candidate.path.display();
+        let bytes = std::fs::read(&candidate.path).with_context(|| format!("cannot read {shown}"))?;
+        let found = hash_of(&bytes);
+        ensure!(found == hash, "{shown} has the hash {found:016x}, not {hash:016x}");
+        self.take_over(Some(&candidate.path))
+    }
+
+    fn take_over(&self, change: Option<&Path>) -> Result<()> {
+        let new = Self::load(&self.path, self.options_path.as_deref(), change)?;
         ensure!(
             (&new.name, new.listen) == (&self.name, self.listen),
             "name, listen: another takes a restart"
@@ -168,9 +276,10 @@
         self.refuse_what_takes_a_restart(&new.options.borrow())?;
         let same = {
             let (before, after) = (self.options.borrow(), new.options.borrow());
-            before.tokens == after.tokens && before.left_out == after.left_out
+            (&before.tokens, &before.left_out, &before.rollout)
+                == (&after.tokens, &after.left_out, &after.rollout)
         };
-        ensure!(same, "options: <tokens>, <calls>: others take a restart");
+        ensure!(same, "options: <tokens>, <calls>, <rollout>: others take a restart");
         let fleet = |c: &Configuration| {
             c.membership.as_ref().map(|f| (f.bind, f.advertise, f.name.clone(), f.seeds.clone()))
         };
@@ -186,6 +295,7 @@
             (plans, shared.map(|shared| (shared.gossip, shared.judge.clone())), tier)
         };
         ensure!(plans(self) == plans(&new), "options: <shared-state>: all but a total takes a restart");
+        self.reference.set(new.reference.get());
         self.addresses.set(new.addresses.get());
         self.options.swap(&new.options);
         Ok(())
@@ -237,6 +347,8 @@
             settings: meadowstream_settings::read_json(at("settings")?).context("settings")?,
             options: RefCell::default(),
             options_path: None,
+            reference: Cell::new(meadowstream::REFERENCE),
+            candidate: RefCell::default(),
             membership: None,
         };
         Ok(configuration)
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod configuration;
+pub mod coordinate;
 pub mod drain;
 pub mod signals;
 pub mod start;
--- a/crates/server/src/lifecycle/signals.rs
+++ b/crates/server/src/lifecycle/signals.rs
@@ -39,7 +39,14 @@
         server.counters.reloads_refused.add();
         return warn!("configuration kept as it was: {error:#}");
     }
+    took_over(server).await;
+}
+
+/// Tells all who go by settings that these are others now.
+pub async fn took_over(server: &Server) {
     server.counters.reloads.add();
+    let reference = server.configuration.reference.get();
+    let _ = server.inputs.send(Input::SteerTo(reference)).await;
     let budget = |options: &meadowstream_options::Options| {
         options.shared_state.as_ref().and_then(|shared| Some(shared.budget.as_ref()?.total))
     };
--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -1,5 +1,6 @@
 //! The start: one thread, one executor, the tasks.
 
+use super::tasks::rollout::Rollout;
 use super::tasks::{Input, Server, accept, catalog, decisions::Decisions, fleet, link};
 use super::{clock::Clock, configuration::Configuration, drain, signals};
 use crate::memory::connections::{Connections, Standing};
@@ -55,6 +56,13 @@
     if let Some((shared, tenants)) = shared.as_ref().zip(configuration.options.borrow().tenants.as_ref()) {
         shared.name_tenants(tenants.fair.named.iter().map(|(name, _)| name.as_slice()));
     }
+    let candidate = configuration.candidate.borrow().clone();
+    let of_rollouts = configuration.options.borrow().rollout.clone();
+    let rollout = candidate.zip(of_rollouts).map(|(candidate, given)| {
+        let operations = &configuration.settings.operation_names;
+        Rollout::new(candidate, given.lease, operations).map_err(|fault| anyhow!("<rollout>: {fault}"))
+    });
+    let rollout = rollout.transpose()?;
     let server = Rc::new(Server {
         configuration,
         clock,
@@ -70,6 +78,7 @@
         counters: Counters::default(),
         left,
         shared,
+        rollout,
     });
     executor.spawn(signals::heed(server.clone(), signals, stay)).detach();
     executor.spawn(link::keep(server.clone())).detach();
--- a/crates/server/src/lifecycle/tasks/decisions.rs
+++ b/crates/server/src/lifecycle/tasks/decisions.rs
@@ -3,6 +3,7 @@
 use super::call::{self, Call};
 use super::{Input, Server};
 use crate::memory::connections::Told;
+use crate::memory::figures::Answered;
 use crate::memory::invocations::{Invocation, Invocations, Sent};
 use crate::memory::repeats::{Echo, Found, Repeats};
 use crate::memory::tier::Over;
@@ -155,6 +156,7 @@
                     reference,
                     operation,
                     tenant,
+                    arrived: since,
                     body,
                     connection,
                     tag,
@@ -189,6 +191,7 @@
             Input::Retune(settings) => {
                 self.with_brain(|brain, now, _| brain.retune(now, &settings));
             }
+            Input::SteerTo(reference) => self.with_brain(|brain, _, _| brain.steer_to(reference)),
             Input::Leave => {
                 let grace = self.hands.server.configuration.stop_ms * 1_000_000;
                 self.with_brain(|brain, now, hands| brain.told_to_leave(now, grace, hands));
@@ -272,6 +275,7 @@
         let configuration = &self.hands.server.configuration;
         let (mut deployment, seed) = (configuration.settings.deployment.clone(), configuration.seed);
         deployment.cold = cold;
+        deployment.reference = configuration.reference.get();
         let born = self.hands.server.clock.now().saturating_sub(age);
         self.brain = Some(Brain::new(deployment, seed, born, &mut self.hands));
         if self.hands.server.leaves() {
@@ -414,6 +418,17 @@
             Answer::Throttled { .. } => counters.throttled.add(),
             _ => counters.errored.add(),
         }
+        if let Some(rollout) = &self.server.rollout {
+            let how = match &answer {
+                Answer::Succeeded(_) => Answered::Succeeded,
+                Answer::Throttled { .. } => Answered::Throttled,
+                _ => Answered::Errored,
+            };
+            let after = self.server.clock.age(invocation.arrived).max(0) as Nanos;
+            let operations = &self.server.configuration.settings.deployment.operations;
+            let late = after > operations[invocation.operation].client_timeout;
+            rollout.record.answered(invocation.operation, how, after, late);
+        }
         if let Some(shared) = &self.server.shared {
             let settings = &self.server.configuration.settings;
             let (operation, tenant) = (invocation.operation, invocation.tenant.as_deref());
--- a/crates/server/src/lifecycle/tasks/fleet.rs
+++ b/crates/server/src/lifecycle/tasks/fleet.rs
@@ -1,12 +1,14 @@
 //! The fleet's view: one task owns the membership core on its UDP socket, feeds it datagrams and time, sends
 //! what it asks, and says in the log what changed and how the view stands. It feeds the module nothing yet.
 
-use super::Server;
+use super::{Server, rollout};
 use crate::lifecycle::configuration::Fleet;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use meadowstream_membership::envelope::DATAGRAM_MAX;
 use meadowstream_membership::{Change, Id, Membership, Seen, Standing};
+use meadowstream_rollout::wire;
+use meadowstream_shared_state::{ORDER_REPORTS, ORDERS};
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use tracing::{info, warn};
@@ -117,7 +119,7 @@
 const SHOWN_EVERY: u64 = 500_000_000;
 
 impl Sharing {
-    async fn play(&mut self, server: &Server, core: &mut Membership, now: u64) {
+    async fn play(&mut self, server: &Rc<Server>, core: &mut Membership, now: u64) {
         let Some(shared) = &server.shared else {
             self.due = u64::MAX;
             return;
@@ -125,6 +127,13 @@
         let came = core.carried();
         let answers = !came.is_empty();
         shared.heard(came);
+        for (from, topic, body) in shared.others() {
+            let order = (topic == ORDERS).then(|| wire::decode::<wire::Order>(&body)).flatten();
+            let Some((rollout, order)) = server.rollout.as_ref().zip(order) else { continue };
+            if let Some(report) = rollout::obey(server, rollout, order) {
+                shared.send_other(&from.name, ORDER_REPORTS, wire::encode(&report));
+            }
+        }
         if now < self.due && !answers {
             return;
         }
--- a/crates/server/src/lifecycle/tasks/mod.rs
+++ b/crates/server/src/lifecycle/tasks/mod.rs
@@ -7,6 +7,7 @@
 pub mod decisions;
 pub mod fleet;
 pub mod link;
+pub mod rollout;
 
 use super::clock::Clock;
 use super::configuration::Configuration;
@@ -44,6 +45,8 @@
     pub left: Receiver<()>,
     /// What the servers share, where the options say so.
     pub shared: Option<Shared>,
+    /// This server's part in changes by stages, where the options say so.
+    pub rollout: Option<rollout::Rollout>,
 }
 
 impl Server {
@@ -103,5 +106,7 @@
     ShowTenants,
     /// Weights and shares are others from now on.
     Retune(Box<meadowstream_fair::Settings>),
+    /// The busy share of the cores to steer to from now on.
+    SteerTo(f64),
     Leave,
 }
--- /dev/null
+++ b/crates/server/src/lifecycle/tasks/rollout.rs
@@ -0,0 +1,150 @@
+//! This server's part in a change by stages: it goes by the change or by its own settings as the coordinator
+//! orders, and reports what it does. What it goes by stands in a file beside its options before it is
+//! reported, so that it is the same after a crash.
+
+use super::Server;
+use crate::lifecycle::configuration::Candidate;
+use crate::lifecycle::signals;
+use crate::memory::figures::Record;
+use meadowstream_rollout::wire::{Order, Report};
+use std::cell::{Cell, RefCell};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use tracing::{info, warn};
+
+pub struct Rollout {
+    pub record: Record,
+    candidate: Candidate,
+    /// For how long a plan that is under way here is not given up for another.
+    lease: u64,
+    last: RefCell<Last>,
+    /// What the server goes by, as it stands on disk.
+    stands: Cell<Option<u64>>,
+    refused: RefCell<Option<String>>,
+    changing: Cell<bool>,
+    intervals: Cell<u64>,
+}
+
+/// The last order that was taken.
+#[derive(Default)]
+struct Last {
+    plan: String,
+    life: u64,
+    number: u64,
+    at: u64,
+}
+
+impl Rollout {
+    pub fn new(candidate: Candidate, lease: u64, operations: &[String]) -> Result<Rollout, String> {
+        Ok(Rollout {
+            record: Record::new(operations)?,
+            stands: Cell::new(candidate.adopted),
+            candidate,
+            lease,
+            last: RefCell::default(),
+            refused: RefCell::default(),
+            changing: Cell::new(false),
+            intervals: Cell::new(0),
+        })
+    }
+}
+
+/// An order, as an authenticated member gave it. `None` where there is nothing to answer: it is stale, or the
+/// same once more.
+pub fn obey(server: &Rc<Server>, rollout: &Rollout, order: Order) -> Option<Report> {
+    let now = server.clock.now();
+    let mut last = rollout.last.borrow_mut();
+    if (order.life, order.number) <= (last.life, last.number) {
+        return None;
+    }
+    let under_way = rollout.stands.get().is_some() && now < last.at + rollout.lease;
+    let report = |refused| {
+        let stands = rollout.stands.get();
+        Report {
+            number: order.number,
+            version: env!("CARGO_PKG_VERSION").to_string(),
+            settings: stands.unwrap_or(rollout.candidate.own),
+            adopted: stands.is_some(),
+            refused,
+            interval: rollout.intervals.get(),
+            classes: Vec::new(),
+        }
+    };
+    if order.plan != last.plan && under_way {
+        // Guards against a second coordinator that thinks it holds the lease.
+        return Some(report(Some(format!("plan {:?} is under way here", last.plan))));
+    }
+    if order.plan != last.plan {
+        *rollout.refused.borrow_mut() = None;
+    }
+    *last = Last { plan: order.plan, life: order.life, number: order.number, at: now };
+    drop(last);
+    if order.adopt != rollout.stands.get() && !rollout.changing.replace(true) {
+        server.executor.spawn(change(server.clone(), order.adopt)).detach();
+    }
+    rollout.intervals.set(rollout.intervals.get() + 1);
+    let refused = rollout.refused.borrow().clone();
+    Some(Report { classes: rollout.record.take(), ..report(refused) })
+}
+
+/// Goes over to the change, or back. Back, the file goes first: a crash between both leaves a server that
+/// starts with its own settings, or one that still says that it goes by the change.
+async fn change(server: Rc<Server>, adopt: Option<u64>) {
+    let Some(rollout) = &server.rollout else { return };
+    let mark = rollout.candidate.mark.clone();
+    let done = match adopt {
+        None => match blocking::unblock(move || remove(&mark)).await {
+            Ok(()) => server.configuration.adopt(None),
+            Err(error) => Err(anyhow::Error::from(error).context("cannot take back the mark on disk")),
+        },
+        Some(hash) => match server.configuration.adopt(Some(hash)) {
+            Ok(()) => {
+                let written = blocking::unblock(move || write(&mark, &format!("{hash:016x}\n"))).await;
+                written.map_err(|error| anyhow::Error::from(error).context("cannot put the mark on disk"))
+            }
+            Err(error) => Err(error),
+        },
+    };
+    match done {
+        Ok(()) => {
+            rollout.stands.set(adopt);
+            *rollout.refused.borrow_mut() = None;
+            let settings = adopt.unwrap_or(rollout.candidate.own);
+            info!(target: "fleet", adopted = adopt.is_some(), settings = format!("{settings:016x}"), "settings");
+            signals::took_over(&server).await;
+            // What was done by other settings is not told as done by these.
+            rollout.record.take();
+        }
+        Err(error) => {
+            let why: String = format!("{error:#}").chars().take(200).collect();
+            warn!(target: "fleet", why, "an order of a rollout was refused");
+            *rollout.refused.borrow_mut() = Some(why);
+        }
+    }
+    rollout.changing.set(false);
+}
+
+/// Written whole or not at all, and there to stay: file, rename, folder.
+pub fn write(path: &Path, text: &str) -> std::io::Result<()> {
+    let mut beside = path.as_os_str().to_os_string();
+    beside.push(".new");
+    let beside = PathBuf::from(beside);
+    let mut file = std::fs::File::create(&beside)?;
+    file.write_all(text.as_bytes())?;
+    file.sync_all()?;
+    std::fs::rename(&beside, path)?;
+    sync_folder(path)
+}
+
+fn remove(path: &Path) -> std::io::Result<()> {
+    match std::fs::remove_file(path) {
+        Err(error) if error.kind() != std::io::ErrorKind::NotFound => Err(error),
+        _ => sync_folder(path),
+    }
+}
+
+fn sync_folder(path: &Path) -> std::io::Result<()> {
+    let folder = path.parent().filter(|parent| !parent.as_os_str().is_empty());
+    std::fs::File::open(folder.unwrap_or(Path::new(".")))?.sync_all()
+}
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -7,7 +7,7 @@
 mod wire;
 
 use anyhow::{Context, Result, ensure};
-use lifecycle::{configuration::Configuration, start};
+use lifecycle::{configuration::Configuration, coordinate, start};
 use meadowstream_stand_ins::{night, table::table};
 use std::ffi::OsStr;
 use std::path::{Path, PathBuf};
@@ -22,6 +22,7 @@
   meadowstream check FILE              say whether a configuration can be served
   meadowstream rehearse                play a busy night of many tenants on loopback
   meadowstream fleet rehearse          play crashes, stalls and a partition between servers on loopback
+  meadowstream rollout PLAN            bring a change of settings to the fleet in stages
   meadowstream version                 say which version this is
 
 meadowstream COMMAND --help says more. Exit codes: 0 done, 1 failed, 2 wrong usage.
@@ -54,6 +55,17 @@
 view on, and plays a join, a crash (SIGKILL), a stall (SIGSTOP, then SIGCONT), a partition into halves and
 its heal. Ends with a table of when each server's own log showed each change, and when the views agreed.
 ";
+const ROLLOUT: &str = "\
+meadowstream rollout PLAN --options FILE [--state FILE] [--wait SECONDS]
+meadowstream rollout status PLAN [--state FILE]
+meadowstream rollout abort PLAN [--state FILE]
+
+Brings a change of settings to the servers in stages, compares those changed with the others, and rolls back
+by itself where they do worse (docs/rollout.md). PLAN is an XML file (deploy/meadowstream.xsd); the options
+name the fleet to join. Its state is kept beside the plan, or where --state says: one that was killed goes on
+from there when it is started again. It waits 120 seconds for the lease that one plan at a time holds.
+Exit codes: 0 all stages went through, 1 it was stopped or rolled back, or could not be done, 2 wrong usage.
+";
 const VERSION: &str = "\
 meadowstream version
 
@@ -69,6 +81,7 @@
         Some("check") => CHECK,
         Some("rehearse") => REHEARSE,
         Some("fleet") => FLEET,
+        Some("rollout") => ROLLOUT,
         Some("version") => VERSION,
         _ => HELP,
     };
@@ -136,6 +149,7 @@
             ensure!((4..=64).contains(&servers), "--servers: {servers} is not within 4 and 64");
             Box::new(move || fleet_rehearse(servers))
         }
+        Some("rollout") => rollout(&mut arguments)?,
         Some("version") => Box::new(|| {
             println!("meadowstream {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -147,6 +161,30 @@
     Ok(Some(act))
 }
 
+/// The three forms of `rollout`.
+fn rollout(arguments: &mut pico_args::Arguments) -> Result<Act> {
+    let path = |text: &OsStr| Ok::<_, std::convert::Infallible>(PathBuf::from(text));
+    let state: Option<PathBuf> = arguments.opt_value_from_os_str("--state", path)?;
+    let options: Option<PathBuf> = arguments.opt_value_from_os_str("--options", path)?;
+    let wait: u64 = arguments.opt_value_from_str("--wait")?.unwrap_or(120);
+    let first: PathBuf = arguments.free_from_os_str(path).context("rollout: name a plan")?;
+    let does = first.to_str().filter(|word| ["status", "abort"].contains(word)).map(str::to_string);
+    let plan = match does {
+        Some(_) => arguments.free_from_os_str(path).context("rollout: name a plan")?,
+        None => first,
+    };
+    let state = state.unwrap_or_else(|| coordinate::state_of(&plan));
+    Ok(match does.as_deref() {
+        Some("status") => Box::new(move || coordinate::status(&state)),
+        Some(_) => Box::new(move || coordinate::abort(&state)),
+        None => {
+            let options = options.context("rollout: --options is to name the fleet's settings")?;
+            let given = coordinate::Given { plan, options, state, wait: Duration::from_secs(wait) };
+            Box::new(move || coordinate::run(&given))
+        }
+    })
+}
+
 fn serve(file: &Path, options: Option<&Path>, json: bool) -> Result<()> {
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
     let log = tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(|| log::Log);
@@ -155,11 +193,11 @@
     } else {
         log.init();
     }
-    start::serve(Configuration::load(file, options)?)
+    start::serve(Configuration::load_standing(file, options)?)
 }
 
 fn check(file: &Path, options: Option<&Path>) -> Result<()> {
-    let read = Configuration::load(file, options)?;
+    let read = Configuration::load(file, options, None)?;
     let operations = read.settings.operation_names.join(", ");
     println!("{} would listen on {} for {operations}", read.name, read.listen);
     if let Some(fair) = &read.settings.deployment.fair {
--- /dev/null
+++ b/crates/server/src/memory/figures.rs
@@ -0,0 +1,62 @@
+//! What this server has done for each class of invocations since it was last asked, for a rolling change's
+//! coordinator to compare.
+
+use hdrhistogram::Histogram;
+use meadowstream_rollout::canary::Figures;
+use meadowstream_rollout::wire::CLASSES_MAX;
+use std::cell::RefCell;
+
+/// Longest latency told apart, in microseconds; longer ones count as this.
+const LONGEST_US: u64 = 60_000_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answered {
+    Succeeded,
+    Throttled,
+    Errored,
+}
+
+struct Class {
+    figures: Figures,
+    latency: Histogram<u64>,
+}
+
+/// One class for each operation, the first ones of the settings where there are more than a report holds.
+pub struct Record {
+    classes: RefCell<Vec<Class>>,
+}
+
+impl Record {
+    pub fn new(operations: &[String]) -> Result<Record, String> {
+        let class = |name: &String| {
+            let latency = Histogram::new_with_bounds(1, LONGEST_US, 2).map_err(|fault| fault.to_string())?;
+            Ok(Class { figures: Figures { class: name.clone(), ..Figures::default() }, latency })
+        };
+        let classes = operations.iter().take(CLASSES_MAX).map(class).collect::<Result<_, String>>()?;
+        Ok(Record { classes: RefCell::new(classes) })
+    }
+
+    /// An answer after so many nanoseconds; `late` where its caller had given up by then.
+    pub fn answered(&self, operation: usize, how: Answered, after: u64, late: bool) {
+        let mut classes = self.classes.borrow_mut();
+        let Some(Class { figures, latency }) = classes.get_mut(operation) else { return };
+        figures.answered += 1;
+        figures.late += u64::from(late);
+        match how {
+            Answered::Succeeded => latency.saturating_record((after / 1000).max(1)),
+            Answered::Throttled => figures.throttled += 1,
+            Answered::Errored => figures.errored += 1,
+        }
+    }
+
+    /// All since the last time; the record begins anew.
+    pub fn take(&self) -> Vec<Figures> {
+        let taken = |Class { figures, latency }: &mut Class| {
+            let p95_us = if latency.is_empty() { 0 } else { latency.value_at_quantile(0.95) };
+            latency.reset();
+            let class = figures.class.clone();
+            Figures { p95_us, ..std::mem::replace(figures, Figures { class, ..Figures::default() }) }
+        };
+        self.classes.borrow_mut().iter_mut().map(taken).collect()
+    }
+}
--- a/crates/server/src/memory/invocations.rs
+++ b/crates/server/src/memory/invocations.rs
@@ -10,6 +10,8 @@
     pub operation: usize,
     /// Its tenant, where the fleet counts that one by name.
     pub tenant: Option<String>,
+    /// When its caller sent it, in milliseconds since the epoch.
+    pub arrived: u64,
     pub body: Vec<u8>,
     pub connection: Rc<Connection>,
     pub tag: u64,
--- a/crates/server/src/memory/mod.rs
+++ b/crates/server/src/memory/mod.rs
@@ -3,6 +3,7 @@
 pub mod connections;
 pub mod counters;
 pub mod descriptors;
+pub mod figures;
 pub mod invocations;
 pub mod pool;
 pub mod repeats;
--- a/crates/server/src/memory/shared.rs
+++ b/crates/server/src/memory/shared.rs
@@ -4,6 +4,7 @@
 use crate::memory::counters::Counters;
 use crate::memory::tier::{Over, Tier};
 use meadowstream_routing::Wish;
+use meadowstream_shared_state::budget::Budget;
 use meadowstream_shared_state::clock::{Reading, Time};
 use meadowstream_shared_state::permits::Permits;
 use meadowstream_shared_state::{Settings, SharedState, Who};
@@ -77,7 +78,7 @@
             *refused = true;
             return false;
         }
-        let Some(budget) = state.budgets.first() else { return true };
+        let Some(budget) = calls(state) else { return true };
         let may = budget.may_take(time, permits.uses(time));
         if !may {
             permits.refuse(time, waiting as u64);
@@ -94,7 +95,7 @@
         let time = inner.state.read(reading);
         inner.permits.taken(time, number);
         let place = inner.tier.as_mut().map(|tier| tier.call(reading.monotonic, number, wish));
-        let most = inner.state.budgets.first().map_or(timeout, |budget| timeout.min(budget.plan().use_most));
+        let most = calls(&inner.state).map_or(timeout, |budget| timeout.min(budget.plan().use_most));
         (most, place.map(|(service, to)| Place { service, to }))
     }
 
@@ -107,7 +108,7 @@
         if let Some((tier, judge)) = tier.as_mut().zip(state.judge.as_mut()) {
             tier.ended(reading.monotonic, time, number, over, judge);
         }
-        let use_most = inner.state.budgets.first().map_or(0, |budget| budget.plan().use_most);
+        let use_most = calls(&inner.state).map_or(0, |budget| budget.plan().use_most);
         inner.permits.ended(number, surely, use_most);
     }
 
@@ -136,7 +137,9 @@
 
     /// A total from a reload; `Err` leaves the old one.
     pub fn set_total(&self, total: u64) -> Result<(), String> {
-        self.inner.borrow_mut().state.budgets.iter_mut().try_for_each(|budget| budget.set_total(total))
+        let mut inner = self.inner.borrow_mut();
+        let mut calls = inner.state.budgets.iter_mut().filter(|budget| budget.plan().name != ROLLOUTS);
+        calls.try_for_each(|budget| budget.set_total(total))
     }
 
     pub fn heard(&self, bodies: Vec<Vec<u8>>) {
@@ -149,6 +152,15 @@
         }
     }
 
+    /// Bodies of other topics that came.
+    pub fn others(&self) -> Vec<(Who, u16, Vec<u8>)> {
+        self.inner.borrow_mut().state.others()
+    }
+
+    pub fn send_other(&self, to: &str, topic: u16, body: Vec<u8>) {
+        self.inner.borrow_mut().state.send_other(to, topic, body);
+    }
+
     /// Does what is due; what to send to whom by name, and whether the module is to look again at calls that
     /// it held back.
     pub fn advance(&self, alive: &[String], counters: &Counters) -> (Vec<(String, Vec<u8>)>, bool) {
@@ -161,7 +173,7 @@
             state.counts.add(key, now.get() - *counted);
             *counted = now.get();
         }
-        for budget in &mut state.budgets {
+        for budget in state.budgets.iter_mut().filter(|budget| budget.plan().name != ROLLOUTS) {
             let lately = 2 * budget.plan().refresh;
             let (wants, uses) = (permits.wants(time, lately), permits.uses(time));
             budget.note_use(wants, uses);
@@ -178,7 +190,7 @@
         let open = tier.as_ref().is_none_or(|tier| tier.has_room(reading.monotonic, may_probe));
         let free = |time: Time, permits: &mut Permits| {
             let uses = permits.uses(time);
-            state.budgets.first().is_none_or(|budget| budget.may_take(time, uses))
+            calls(state).is_none_or(|budget| budget.may_take(time, uses))
         };
         let again = *refused && open && free(time, permits);
         *refused &= !again;
@@ -198,7 +210,7 @@
         let names = state.judge.as_ref().map(|judge| &judge.settings().services);
         let ejected = tier.iter().flat_map(|tier| &tier.ejected);
         let ejected = ejected.filter_map(|i| names?.get(*i).cloned()).collect();
-        let Some(budget) = state.budgets.first() else { return Shown { ejected, ..Shown::default() } };
+        let Some(budget) = calls(state) else { return Shown { ejected, ..Shown::default() } };
         let ceiling = budget.ceiling(time);
         Shown {
             floor: ceiling.floor,
@@ -223,13 +235,21 @@
     pub fn totals(&self) -> (String, String) {
         let inner = self.inner.borrow();
         let totals = serde_json::to_string(&inner.state.counts.totals()).unwrap_or_default();
-        let budget = inner.state.budgets.first().map(|budget| budget.counts);
+        let budget = calls(&inner.state).map(|budget| budget.counts);
         let (refused, apart) = (inner.state.counts.refused, inner.state.disagreements());
         let tally = (inner.state.tally, budget, refused, apart, inner.uncounted);
         (totals, serde_json::to_string(&tally).unwrap_or_default())
     }
 }
 
+/// The budget of one that whoever coordinates a rollout holds; a server only helps to give it.
+pub const ROLLOUTS: &str = "rollouts";
+
+/// The budget of calls below.
+fn calls(state: &SharedState) -> Option<&Budget> {
+    state.budgets.iter().find(|budget| budget.plan().name != ROLLOUTS)
+}
+
 const COUNTED: [&str; 4] = ["invocations", "succeeded", "throttled", "errored"];
 
 fn wall() -> u64 {
--- /dev/null
+++ b/crates/server/tests/fleet_rollout.rs
@@ -0,0 +1,284 @@
+//! Changes by stages over six processes of the program, behind the fault relay and under load, with the
+//! coordinator as a seventh: what each server goes by, answers and says is read from the servers themselves.
+
+use meadowstream_stand_ins::fleet::{Extra, Stage, wait};
+use meadowstream_stand_ins::load::{Answers, flood};
+use meadowstream_stand_ins::parties;
+use std::io::{BufRead, BufReader};
+use std::net::UdpSocket;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+const ALL: [usize; 6] = [0, 1, 2, 3, 4, 5];
+const VOTERS: &str = r#"<voter name="s0"/><voter name="s1"/><voter name="s2"/>"#;
+
+fn stage(seed: u64) -> Stage {
+    let (records, _) = parties::records(Duration::from_millis(5)).unwrap();
+    let rollout = format!(r#"<rollout candidate="next.xml" servers="10" lease-ms="1500">{VOTERS}</rollout>"#);
+    let extra = Extra { cores: 2.0, records: vec![records; 6], options: rollout, ..Extra::default() };
+    let program = Path::new(env!("CARGO_BIN_EXE_meadowstream"));
+    // Two faces beyond the servers, for coordinators.
+    let stage = Stage::with(program, 8, 6, seed, extra).unwrap();
+    stage.until_agreed(&ALL, Instant::now(), Duration::from_secs(15)).unwrap();
+    stage
+}
+
+/// Half of what each server's cores can do.
+fn floods(stage: &Stage, span: Duration) -> Vec<JoinHandle<Answers>> {
+    let to = |i: usize| stage.listens(i).expect("it said so");
+    ALL.iter().map(|&i| flood(to(i), 100.0, Duration::from_millis(10), span, i as u64 + 1)).collect()
+}
+
+fn candidate(stage: &Stage, inside: &str) {
+    let text = format!("<meadowstream xmlns=\"urn:meadowstream:options:1\">\n{inside}\n</meadowstream>\n");
+    std::fs::write(stage.folder().join("next.xml"), text).unwrap();
+}
+
+fn plan(stage: &Stage, name: &str) -> PathBuf {
+    let text = format!(
+        r#"<plan xmlns="urn:meadowstream:options:1" name="{name}" candidate="next.xml" interval-ms="250"
+        settled-ms="1000" patience-ms="4000">
+        <stage servers="1" bake-ms="4000"/>
+        <stage share="0.5" bake-ms="4000"/>
+        <stage share="1" bake-ms="2000"/>
+        </plan>"#
+    );
+    let path = stage.folder().join(format!("{name}.plan.xml"));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+struct Coordinator {
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Coordinator {
+    /// At the relay's face `face`; the same one again takes another port.
+    fn start(stage: &Stage, plan: &Path, face: usize, wait: u64) -> Coordinator {
+        let free = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        stage.relay.register(face, free);
+        let options = stage.folder().join(format!("coordinator-{face}.xml"));
+        let text = format!(
+            r#"<meadowstream xmlns="urn:meadowstream:options:1">
+            <membership bind="{free}" advertise="{}" fleet="rehearsal" key-file="key" probe-period-ms="200"
+              probe-rtt-ms="80" suspicion-multiplier="5" gossip-period-ms="100" announce-period-ms="1000">
+            <seed address="{}"/><seed address="{}"/></membership>
+            <rollout candidate="next.xml" servers="10" lease-ms="1500">{VOTERS}</rollout></meadowstream>"#,
+            stage.relay.face(face),
+            stage.relay.face(0),
+            stage.relay.face(1),
+        );
+        std::fs::write(&options, text).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_meadowstream"));
+        command.arg("rollout").arg(plan).arg("--options").arg(options).args(["--wait", &wait.to_string()]);
+        let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+        let lines: Arc<Mutex<Vec<String>>> = Arc::default();
+        let outputs: [Box<dyn std::io::Read + Send>; 2] =
+            [Box::new(child.stdout.take().unwrap()), Box::new(child.stderr.take().unwrap())];
+        for output in outputs {
+            let into = lines.clone();
+            std::thread::spawn(move || {
+                let read = BufReader::new(output).lines().map_while(Result::ok);
+                read.for_each(|line| into.lock().unwrap().push(line));
+            });
+        }
+        Coordinator { child, lines }
+    }
+
+    fn said(&self, text: &str) -> bool {
+        self.lines.lock().unwrap().iter().any(|line| line.contains(text))
+    }
+
+    fn until_said(&self, text: &str, within: Duration) {
+        let said = wait(within, || self.said(text).then_some(()));
+        assert!(said.is_some(), "never said {text:?}: {:#?}", self.lines.lock().unwrap());
+    }
+
+    /// Its exit code.
+    fn end(&mut self, within: Duration) -> i32 {
+        let ended = wait(within, || self.child.try_wait().unwrap());
+        std::thread::sleep(Duration::from_millis(50));
+        let ended = ended.unwrap_or_else(|| panic!("still runs: {:#?}", self.lines.lock().unwrap()));
+        ended.code().unwrap_or(-1)
+    }
+}
+
+impl Drop for Coordinator {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Whether server `i` says that it goes by a change.
+fn adopted(stage: &Stage, i: usize) -> bool {
+    stage.lines(i, "settings").last().is_some_and(|line| line["adopted"] == true)
+}
+
+fn changed(stage: &Stage) -> Vec<usize> {
+    ALL.into_iter().filter(|i| adopted(stage, *i)).collect()
+}
+
+/// Servers that ever went by a change.
+fn touched(stage: &Stage) -> Vec<usize> {
+    let ever = |i: &usize| stage.lines(*i, "settings").iter().any(|line| line["adopted"] == true);
+    ALL.into_iter().filter(ever).collect()
+}
+
+fn mark(stage: &Stage, i: usize) -> PathBuf {
+    stage.folder().join(format!("s{i}.xml.adopted"))
+}
+
+/// Nothing lost and nothing answered with an error, on any server: what the rules ask of a calm load.
+fn all_answered(floods: Vec<JoinHandle<Answers>>) -> Vec<Answers> {
+    let answers: Vec<Answers> = floods.into_iter().map(|flood| flood.join().unwrap()).collect();
+    for each in &answers {
+        assert_eq!((each.errored, each.none), (0, 0), "{answers:?}");
+        assert_eq!(each.succeeded + each.throttled, each.sent, "{answers:?}");
+    }
+    answers
+}
+
+/// A reference far under what the load needs throttles much of it: seen at the first stage, taken back on the
+/// one server that had it, and the five others never went by it.
+#[test]
+fn a_bad_change_is_stopped_at_its_first_stage_and_rolled_back() {
+    let stage = stage(41);
+    candidate(&stage, "<control reference=\"0.15\"/>");
+    let plan = plan(&stage, "too-low");
+    let load = floods(&stage, Duration::from_secs(22));
+    std::thread::sleep(Duration::from_secs(2));
+    let mut coordinator = Coordinator::start(&stage, &plan, 6, 20);
+    coordinator.until_said("stage 1: all go by it", Duration::from_secs(20));
+    assert_eq!(changed(&stage).len(), 1);
+    let code = coordinator.end(Duration::from_secs(20));
+    println!("{:#?}", coordinator.lines.lock().unwrap());
+    assert_eq!(code, 1);
+    assert!(coordinator.said("rolled back: load: ") && !coordinator.said("stage 2"));
+    assert_eq!((touched(&stage).len(), changed(&stage).len()), (1, 0));
+    assert!(ALL.iter().all(|i| !mark(&stage, *i).exists()));
+    let answers = all_answered(load);
+    let throttled: Vec<u64> = answers.iter().map(|each| each.throttled).collect();
+    println!("throttled by server: {throttled:?}, touched {:?}", touched(&stage));
+    // The same plan is not begun again by mistake.
+    let again = Coordinator::start(&stage, &plan, 6, 5).end(Duration::from_secs(10));
+    assert_eq!(again, 1);
+}
+
+/// The coordinator is killed while a stage bakes, the servers go on as they are, a second plan is kept out, and
+/// the first one started again goes through all stages. A server killed afterwards starts by the change.
+#[test]
+fn a_good_change_goes_through_though_the_coordinator_is_killed_and_another_plan_comes() {
+    let mut stage = stage(42);
+    candidate(&stage, "<control reference=\"0.88\"/>");
+    let (good, other) = (plan(&stage, "good"), plan(&stage, "other"));
+    let load = floods(&stage, Duration::from_secs(45));
+    std::thread::sleep(Duration::from_secs(2));
+    let coordinator = Coordinator::start(&stage, &good, 6, 20);
+    coordinator.until_said("stage 1: all go by it", Duration::from_secs(20));
+    let mut second = Coordinator::start(&stage, &other, 7, 4);
+    assert_eq!(second.end(Duration::from_secs(12)), 1);
+    assert!(second.said("no lease on rollouts within 4s"), "{:?}", second.lines.lock().unwrap());
+    coordinator.until_said("stage 2 of 3", Duration::from_secs(20));
+    coordinator.until_said("stage 2: all go by it", Duration::from_secs(10));
+    drop(coordinator);
+    let before = changed(&stage);
+    assert_eq!(before.len(), 3);
+    std::thread::sleep(Duration::from_secs(1));
+    let mut again = Coordinator::start(&stage, &good, 6, 30);
+    let code = again.end(Duration::from_secs(45));
+    println!("{:#?}", again.lines.lock().unwrap());
+    assert_eq!(code, 0);
+    assert!(again.said("goes on from its state") && !again.said("stage 1"));
+    assert_eq!(changed(&stage), ALL);
+    let answers = all_answered(load);
+    println!("{answers:?}");
+    // What it goes by is on disk: killed and started again, it answers the next coordinator's first order so.
+    assert!(ALL.iter().all(|i| mark(&stage, *i).exists()));
+    stage.signal(4, "KILL").unwrap();
+    stage.start(4).unwrap();
+    std::fs::write(stage.folder().join("next.xml"), "another").unwrap();
+    stage.signal(5, "KILL").unwrap();
+    stage.start(5).unwrap();
+    let own = wait(Duration::from_secs(5), || {
+        let warned = |i| stage.said(i, "starts by its own settings, not by those of the change");
+        (warned(5) && !warned(4)).then_some(())
+    });
+    assert!(own.is_some(), "a candidate that is another is not used");
+}
+
+/// Part of the fleet is cut off while a stage bakes: no further server is changed until the view stands again.
+/// Then an operator's abort rolls back.
+#[test]
+fn a_partition_makes_a_stage_wait_and_an_abort_rolls_back() {
+    let stage = stage(43);
+    candidate(&stage, "<control reference=\"0.88\"/>");
+    let plan = plan(&stage, "cut");
+    let load = floods(&stage, Duration::from_secs(35));
+    std::thread::sleep(Duration::from_secs(2));
+    let mut coordinator = Coordinator::start(&stage, &plan, 6, 20);
+    coordinator.until_said("stage 1: all go by it", Duration::from_secs(20));
+    let first = changed(&stage);
+    stage.relay.set(|f| {
+        f.groups.extend([(4, 1), (5, 1)]);
+        f.partition(0, 1);
+    });
+    coordinator.until_said("view moves, nothing counts", Duration::from_secs(10));
+    std::thread::sleep(Duration::from_secs(8));
+    assert_eq!(changed(&stage), first, "{:?}", coordinator.lines.lock().unwrap());
+    assert!(!coordinator.said("stage 2"));
+    stage.relay.set(|f| f.heal());
+    coordinator.until_said("stage 2 of 3", Duration::from_secs(20));
+    let out = |word: &str| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_meadowstream"));
+        let out = command.args(["rollout", word]).arg(&plan).output().unwrap();
+        (out.status.code(), String::from_utf8_lossy(&out.stdout).to_string())
+    };
+    let (code, status) = out("status");
+    assert_eq!(code, Some(0));
+    assert!(status.contains("plan \"cut\"") && status.contains("stage 2") && status.contains("3 servers"));
+    assert_eq!(out("abort").0, Some(0));
+    assert_eq!(coordinator.end(Duration::from_secs(15)), 1);
+    assert!(coordinator.said("rolled back: aborted by the operator"));
+    assert!(changed(&stage).is_empty());
+    all_answered(load);
+}
+
+/// A change that the servers refuse, a plan with a fault, a candidate with one: each says where.
+#[test]
+fn what_cannot_be_done_is_refused_with_its_place() {
+    let stage = stage(44);
+    // Good for the coordinator, but another in a server's folder: they differ by the time it is told.
+    candidate(&stage, "<control reference=\"7\"/>");
+    let run = |plan: &Path| {
+        let mut coordinator = Coordinator::start(&stage, plan, 6, 5);
+        let code = coordinator.end(Duration::from_secs(40));
+        (code, coordinator.lines.lock().unwrap().join("\n"))
+    };
+    let path = plan(&stage, "bad");
+    let (code, said) = run(&path);
+    assert_eq!(code, 1);
+    assert!(said.contains("line 2, <control>: reference: 7 is not within 0.05 and 1"), "{said}");
+    candidate(&stage, "<rollout candidate=\"x\" servers=\"3\"/><membership/>");
+    assert!(run(&path).1.contains("line 2, <membership>: fleet is missing"));
+    candidate(&stage, "<control reference=\"0.88\"/>");
+    let good = std::fs::read_to_string(&path).unwrap();
+    std::fs::write(&path, good.replacen("bake-ms=\"4000\"", "bake-ms=\"0\"", 1)).unwrap();
+    let (code, said) = run(&path);
+    assert_eq!(code, 1);
+    assert!(said.contains("line 1, <plan>: stage 1: bake-ms: at least 6 intervals"), "{said}");
+    // A change that takes a restart is refused by the server that is told of it, and nothing stays changed.
+    std::fs::write(&path, good).unwrap();
+    candidate(&stage, "<tenants by=\"peer\"/>");
+    let load = floods(&stage, Duration::from_secs(20));
+    let (code, said) = run(&path);
+    println!("{said}");
+    assert_eq!(code, 1);
+    assert!(said.contains("refuses: tenants: telling them apart or not takes a restart"), "{said}");
+    assert!(touched(&stage).is_empty());
+    all_answered(load);
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -202,6 +202,7 @@
         survivable_crowd: pairs.number("contract.fall-multiple")?,
         cold: pairs.get_or("family-info.fresh-start", false)?,
         cold_speed: pairs.number("contract.cold-from")?,
+        reference: meadowstream::REFERENCE,
         cold_for: pairs.span("contract.cold")?,
     };
     let gauges = pairs.list("family-info.own-stats");
--- a/crates/shared-state/src/budget.rs
+++ b/crates/shared-state/src/budget.rs
@@ -536,7 +536,7 @@
         }
         let others: u64 =
             office.table.iter().filter(|(who, _)| *who != from).map(|(_, held)| held.most()).sum();
-        let wished: Vec<u64> = office.table.values().map(|held| held.wants).collect();
+        let wished: Vec<(u64, u64)> = office.table.values().map(|held| (held.wants, held.most())).collect();
         let mine = office.table.keys().position(|who| who == from).expect("entered above");
         let share = fair_share(plan.to_give(), &wished, mine);
         let amount = share.min(plan.to_give().saturating_sub(others));
@@ -573,13 +573,14 @@
 
 /// The max-min fair share of the one at `mine` among all that want so much: nobody gets more than it wants,
 /// those who want more than their part get equal parts of what is left, whole units that do not divide going
-/// to the later ones.
-pub fn fair_share(capacity: u64, wants: &[u64], mine: usize) -> u64 {
+/// to those who hold most (the second figure of each) and of equals to the later ones. Guards against a budget
+/// of one that went to and fro between two who want it, so that neither had it for long.
+pub fn fair_share(capacity: u64, wants: &[(u64, u64)], mine: usize) -> u64 {
     let mut order: Vec<usize> = (0..wants.len()).collect();
     order.sort_by_key(|i| (wants[*i], *i));
     let mut left = capacity;
     for (done, i) in order.iter().enumerate() {
-        let part = wants[*i].min(left / (wants.len() - done) as u64);
+        let part = wants[*i].0.min(left / (wants.len() - done) as u64);
         if *i == mine {
             return part;
         }
--- a/crates/shared-state/src/lib.rs
+++ b/crates/shared-state/src/lib.rs
@@ -63,8 +63,20 @@
     },
     Rows(Vec<(Who, Row)>),
     Reports(Vec<Report>),
+    /// Of something else that the servers speak of, by its topic; this crate only carries it. A topic that
+    /// nobody here takes is passed over, so that later releases may add some.
+    Other {
+        topic: u16,
+        body: Vec<u8>,
+    },
 }
 
+/// Topics of [`What::Other`].
+pub const ORDERS: u16 = 1;
+pub const ORDER_REPORTS: u16 = 2;
+/// Bodies of other topics that may wait to be taken; more are dropped.
+const OTHERS_MAX: usize = 1024;
+
 #[derive(Clone, Debug)]
 pub struct Settings {
     pub budgets: Vec<Plan>,
@@ -117,6 +129,7 @@
     next_gossip: Nanos,
     rng: ChaCha8Rng,
     out: Vec<(String, Vec<u8>)>,
+    others: Vec<(Who, u16, Vec<u8>)>,
     pub tally: Tally,
 }
 
@@ -134,6 +147,7 @@
             next_gossip: time.fast,
             rng: ChaCha8Rng::seed_from_u64(seed),
             out: Vec::new(),
+            others: Vec::new(),
             tally: Tally::default(),
             wall: reading.wall,
             me,
@@ -227,6 +241,16 @@
         self.out.push((to.to_string(), body));
     }
 
+    /// Sends a body of another topic, in the datagrams of the shared state.
+    pub fn send_other(&mut self, to: &str, topic: u16, body: Vec<u8>) {
+        self.send(to, What::Other { topic, body });
+    }
+
+    /// Bodies of other topics that came, with who sent them; taken once.
+    pub fn others(&mut self) -> Vec<(Who, u16, Vec<u8>)> {
+        std::mem::take(&mut self.others)
+    }
+
     /// Messages to send, each to a member by name; taken once.
     pub fn outgoing(&mut self) -> Vec<(String, Vec<u8>)> {
         std::mem::take(&mut self.out)
@@ -280,6 +304,12 @@
                     }
                 }
             }
+            What::Other { topic, body } => {
+                if self.others.len() >= OTHERS_MAX {
+                    return Err("no room for more of other topics");
+                }
+                self.others.push((from, topic, body));
+            }
             What::Reports(reports) => {
                 if let Some(judge) = &mut self.judge {
                     judge.hear(time, &reports);
