Rolling changes of the program by restarts; servers know of each other what they run

Change: a plan may name a program: each server of a stage marks it on disk, leaves as at SIGTERM, ends at the stop at the latest, and a supervisor starts the marked program (a stand-in in the tests). Servers tell each other version and settings hash (crates/rollout about.rs), shown in the view's line. A warm-up keeps new processes from being compared; a stage whose changed servers alone are missing is rolled back, a cut of both kinds is waited for.

--- a/crates/options/src/lib.rs
+++ b/crates/options/src/lib.rs
@@ -5,6 +5,7 @@
 use anyhow::{Context, Result, anyhow, bail, ensure};
 use meadowstream_fair::Settings;
 use meadowstream_rollout::plan::{OnWorse, Plan, Size, Stage, Thresholds};
+use meadowstream_rollout::wire::Kind;
 use roxmltree::{Document, Node, ParsingOptions};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -117,6 +118,9 @@
 pub struct Rollout {
     /// The file with the settings of a change, as written (relative to the options file).
     pub candidate: PathBuf,
+    /// The program of a change, likewise. Where it is named, whoever starts this server starts what stands
+    /// in the file of its mark, and starts it again when it ends.
+    pub program: Option<PathBuf>,
     /// Servers that run at once, coordinators included, at most; who elects the holder of the lease on
     /// rollouts, and how long it lasts, in nanoseconds.
     pub servers: u64,
@@ -230,7 +234,7 @@
 /// (`docs/rollout.md`).
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlanFile {
-    /// The file with the settings of the change, as written (relative to the plan's file).
+    /// The file with the settings of the change or its program, as written (relative to the plan's file).
     pub candidate: PathBuf,
     /// All but the candidate's hash, which is 0 here.
     pub plan: Plan,
@@ -240,9 +244,11 @@
 pub const PLAN: &[&str] = &[
     "name",
     "candidate",
+    "program",
     "on-worse",
     "interval-ms",
     "settled-ms",
+    "warm-up-ms",
     "patience-ms",
     "throttled",
     "errored",
@@ -281,6 +287,11 @@
             latency: root.number("latency", usual.latency, 1e-6, 100.0)?,
             alpha: root.number("alpha", usual.alpha, 1e-9, 0.2)?,
         };
+        let (candidate, kind) = match (root.text("candidate"), root.text("program")) {
+            (Some(settings), None) => (settings, Kind::Settings),
+            (None, Some(program)) => (program, Kind::Program),
+            _ => bail!("{}: either candidate or program", root.at()),
+        };
         let mut stages = Vec::new();
         for child in root.children(&["stage"], &["stage"])? {
             let stage = Element::new(&document, child, STAGE)?;
@@ -297,15 +308,17 @@
         let plan = Plan {
             name: needs("name")?.to_string(),
             candidate: 0,
+            kind,
             stages,
             on_worse,
             thresholds,
             interval,
             settled: root.span("settled-ms", 5_000_000_000, 0, 600_000)?,
+            warm_up: root.span("warm-up-ms", 0, 0, 3_600_000)?,
             patience: root.span("patience-ms", 30_000_000_000, 50, 3_600_000)?,
         };
         plan.check().map_err(|fault| anyhow!("{}: {fault}", root.at()))?;
-        Ok(PlanFile { candidate: PathBuf::from(needs("candidate")?), plan })
+        Ok(PlanFile { candidate: PathBuf::from(candidate), plan })
     }
 }
 
@@ -374,7 +387,7 @@
 const CHILDREN: &[&str] = &["tenants", "tokens", "calls", "membership", "shared-state", "rollout", "control"];
 
 /// The attributes of `<rollout>`, each read below.
-pub const ROLLOUT: &[&str] = &["candidate", "servers", "lease-ms"];
+pub const ROLLOUT: &[&str] = &["candidate", "program", "servers", "lease-ms"];
 
 fn rollout<'d>(document: &Document<'d>, node: Node<'_, 'd>) -> Result<Rollout> {
     let element = Element::new(document, node, ROLLOUT)?;
@@ -383,6 +396,7 @@
     ensure!(element.text("servers").is_some(), "{}: servers is missing", element.at());
     Ok(Rollout {
         candidate: PathBuf::from(candidate),
+        program: element.text("program").map(PathBuf::from),
         servers: element.whole("servers", 0, 1, 100_000)? as u64,
         voters: voters(document, &element)?,
         lease: element.span("lease-ms", 4_000_000_000, 100, 600_000)?,
--- a/crates/rollout/src/machine.rs
+++ b/crates/rollout/src/machine.rs
@@ -91,6 +91,8 @@
     baked: Nanos,
     /// Since when each server has been owing what it was told, the time without lease or view not counted.
     owing: BTreeMap<String, Nanos>,
+    /// For how long changed servers have been missing from the view, and no others.
+    gone: Nanos,
     heard: BTreeMap<String, Heard>,
     canary: Canary,
     last: Option<Nanos>,
@@ -129,6 +131,7 @@
             began: now,
             baked: 0,
             owing: BTreeMap::new(),
+            gone: 0,
             heard: BTreeMap::new(),
             canary: Canary::default(),
             last: None,
@@ -189,6 +192,8 @@
         }
         let steady = view.missing.is_empty() && view.settled >= self.plan.settled && !view.alive.is_empty();
         self.count_what_is_owed(view, passed, steady);
+        let only_changed = view.missing.iter().all(|server| self.saved.changed.contains(server));
+        self.gone = if only_changed && !view.missing.is_empty() { self.gone + passed } else { 0 };
         match self.saved.phase.clone() {
             Phase::Waiting => self.wait(now, view, steady, &mut acts),
             Phase::Applying => self.apply(now, view, steady, &mut acts),
@@ -207,8 +212,8 @@
         self.number += 1;
         for server in view.alive.iter().chain(&view.missing) {
             let adopt = self.saved.changed.contains(server).then_some(self.plan.candidate);
-            let (plan, life, number) = (self.plan.name.clone(), self.life, self.number);
-            acts.push(Act::Tell(server.clone(), Order { plan, life, number, adopt }));
+            let (plan, life, number, kind) = (self.plan.name.clone(), self.life, self.number, self.plan.kind);
+            acts.push(Act::Tell(server.clone(), Order { plan, life, number, kind, adopt }));
         }
     }
 
@@ -245,7 +250,11 @@
     }
 
     /// A server that has owed for longer than the patience, or refuses, with why.
-    fn fails(&self) -> Option<String> {
+    fn fails(&self, view: &View) -> Option<String> {
+        if self.gone >= self.plan.patience {
+            // A cut takes servers of both kinds; where only changed ones go, the change is the first to ask.
+            return Some(format!("{} gone since the change", view.missing.join(", ")));
+        }
         let over = self.owing.iter().find(|(_, owed)| **owed >= self.plan.patience);
         over.map(|(server, _)| match self.heard.get(server) {
             None => format!("{server} never reports"),
@@ -263,7 +272,7 @@
         for (server, figures) in self.fresh_figures(view) {
             self.saved.baselines.add(&server, &figures);
         }
-        if let Some(why) = self.fails() {
+        if let Some(why) = self.fails(view) {
             // Nothing was changed yet.
             return self.end(Phase::Stopped { why }, acts);
         }
@@ -289,6 +298,7 @@
         (self.began, self.baked, self.looked) = (now, 0, 0);
         self.canary = Canary::default();
         self.owing.clear();
+        self.gone = 0;
         acts.push(Act::Save(Box::new(self.saved.clone())));
         let (of, changed) = (self.plan.stages.len(), self.saved.changed.len());
         let changed_names: Vec<&str> = self.saved.changed.iter().map(String::as_str).collect();
@@ -301,7 +311,7 @@
 
     fn apply(&mut self, now: Nanos, view: &View, steady: bool, acts: &mut Vec<Act>) {
         self.fresh_figures(view);
-        if let Some(why) = self.fails() {
+        if let Some(why) = self.fails(view) {
             return self.worse(now, why, acts);
         }
         let all = view.alive.iter().all(|server| self.complies(server) && self.is_fresh(now, server));
@@ -313,7 +323,7 @@
     }
 
     fn bake(&mut self, now: Nanos, passed: Nanos, view: &View, steady: bool, acts: &mut Vec<Act>) {
-        if let Some(why) = self.fails() {
+        if let Some(why) = self.fails(view) {
             return self.worse(now, why, acts);
         }
         for (server, figures) in self.fresh_figures(view) {
@@ -330,6 +340,10 @@
                 &format!("stage {}: the fleet's view moves, nothing counts", self.saved.stage + 1),
             );
         }
+        if now.saturating_sub(self.began) < self.plan.warm_up {
+            self.canary = Canary::default();
+            return self.say(acts, &format!("stage {}: warms up", self.saved.stage + 1));
+        }
         self.baked += passed;
         let stage = self.saved.stage;
         let (bake, looks) = (self.plan.stages[stage].bake, self.plan.looks(stage));
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -1,6 +1,7 @@
 //! A plan: stages of growing size, each baked for a while, and how much worse is too much.
 
 use crate::Nanos;
+use crate::wire::Kind;
 
 /// Servers changed at the end of a stage, those of the stages before included.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -55,8 +56,9 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
     pub name: String,
-    /// What the change is known by: the hash of its settings.
+    /// What the change is known by: the hash of its settings or program.
     pub candidate: u64,
+    pub kind: Kind,
     pub stages: Vec<Stage>,
     pub on_worse: OnWorse,
     pub thresholds: Thresholds,
@@ -64,6 +66,9 @@
     pub interval: Nanos,
     /// How long the view must have stood still before a stage begins or time counts as baked.
     pub settled: Nanos,
+    /// How long after the servers of a stage go by the change they are not compared yet: a process that has just
+    /// started knows nothing and is slower for a while, whatever its program.
+    pub warm_up: Nanos,
     /// How long a server may take to go by what it is told, or to report at all.
     pub patience: Nanos,
 }
--- a/crates/rollout/src/wire.rs
+++ b/crates/rollout/src/wire.rs
@@ -10,6 +10,16 @@
 /// Classes in one report; a datagram holds no more.
 pub const CLASSES_MAX: usize = 8;
 
+/// What a change is of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// Taken over by the running process.
+    #[default]
+    Settings,
+    /// The process ends by itself, and what started it starts the other program.
+    Program,
+}
+
 /// What a server is told each interval. It answers each with its [`Report`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
@@ -18,7 +28,8 @@
     pub life: u64,
     /// Grows with each order of a life; one that comes after a later one is stale.
     pub number: u64,
-    /// The settings to go by: the change of this hash, or those of the server's own.
+    pub kind: Kind,
+    /// What to go by: the settings or program of this hash, or the server's own.
     pub adopt: Option<u64>,
 }
 
@@ -26,7 +37,7 @@
 pub struct Report {
     /// The order that it answers.
     pub number: u64,
-    /// The program's version, and the hash of the settings it goes by.
+    /// The program's version, and the hash of the settings or the program (as the order has it) it goes by.
     pub version: String,
     pub settings: u64,
     /// Whether these are the change of a plan.
--- a/crates/rollout/tests/rollouts.rs
+++ b/crates/rollout/tests/rollouts.rs
@@ -33,6 +33,8 @@
     offset: f64,
     noise: f64,
     adopted: bool,
+    /// Intervals since it started: a process that is new is slower.
+    age: u64,
     last: (u64, u64),
     refuses: bool,
     stuck: bool,
@@ -57,6 +59,8 @@
     touched: BTreeSet<usize>,
     reports: Vec<(u64, String, Report)>,
     has_lease: bool,
+    /// A change takes a restart.
+    restarts: bool,
 }
 
 fn plan() -> Plan {
@@ -64,6 +68,7 @@
     Plan {
         name: "raise the reference".into(),
         candidate: CANDIDATE,
+        kind: wire::Kind::Settings,
         stages: vec![
             stage(Size::Servers(1), 40),
             stage(Size::Share(0.1), 40),
@@ -74,6 +79,7 @@
         thresholds: Thresholds::default(),
         interval: S,
         settled: 3 * S,
+        warm_up: 0,
         patience: 10 * S,
     }
 }
@@ -95,8 +101,10 @@
             touched: BTreeSet::new(),
             reports: Vec::new(),
             has_lease: true,
+            restarts: false,
         };
         for i in 0..n {
+            fleet.servers[i].age = 100;
             fleet.servers[i].offset = 0.15 * fleet.normal();
         }
         fleet
@@ -121,7 +129,8 @@
         let server = &mut self.servers[i];
         // Half of the noise is that of the interval before.
         server.noise = 0.7 * server.noise + 0.7 * draw;
-        let own = 0.1 * server.noise + server.offset;
+        let own = 0.1 * server.noise + server.offset + if server.age < 5 { 1.0 } else { 0.0 };
+        server.age += 1;
         let (adopted, busy) = (server.adopted, 0.6 + 0.3 * self.load);
         let (mut figures, change) = (Vec::new(), if adopted { self.change } else { Change::Nothing });
         for (class, base) in [("basic", 0.06), ("premium", 0.01)] {
@@ -200,7 +209,12 @@
         match order.adopt {
             Some(_) if server.refuses => refused = Some("line 3, <control>: reference: 7".to_string()),
             None if server.stuck && server.adopted => refused = Some("cannot read its own settings".into()),
-            adopt => server.adopted = adopt.is_some(),
+            adopt => {
+                if server.adopted != adopt.is_some() && self.restarts {
+                    server.age = 0;
+                }
+                server.adopted = adopt.is_some();
+            }
         }
         let adopted = server.adopted;
         if adopted {
@@ -294,6 +308,18 @@
     }
 }
 
+/// A program that does nothing else, on processes that are slow for their first five seconds: taken for worse
+/// without a warm-up, and not with one.
+#[test]
+fn a_process_that_has_just_started_is_not_compared() {
+    for (warm_up, done) in [(0, false), (8 * S, true)] {
+        let mut fleet = Fleet::new(12, Change::Nothing, 71);
+        fleet.restarts = true;
+        let phase = fleet.play(&mut begin(Plan { warm_up, ..plan() }), 600);
+        assert_eq!(phase == Phase::Done, done, "{:?}", fleet.said);
+    }
+}
+
 /// Killed at any interval and started again from what was saved: the same end, and nothing is told that was
 /// not saved first ([`Fleet::tell`] asserts it).
 #[test]
@@ -401,6 +427,24 @@
     fleet.none_left_changed();
 }
 
+/// The change crashes whoever goes by it: only changed servers are missing, which is no partition.
+#[test]
+fn a_change_that_crashes_its_server_is_rolled_back() {
+    let mut fleet = Fleet::new(6, Change::Nothing, 72);
+    let mut coordinator = begin(plan());
+    while fleet.touched.is_empty() {
+        fleet.step(&mut coordinator);
+    }
+    let crashed = *fleet.touched.first().unwrap();
+    fleet.servers[crashed].cut = true;
+    fleet.settled = 0;
+    let before = fleet.interval;
+    let phase = fleet.play(&mut coordinator, 200);
+    let Phase::RolledBack { why, left } = phase else { panic!("{phase:?}: {:?}", fleet.said) };
+    assert_eq!((why, left), (format!("s{crashed} gone since the change"), vec![format!("s{crashed}")]));
+    assert!(fleet.interval - before <= 35, "{}", fleet.interval - before);
+}
+
 #[test]
 fn a_server_that_refuses_the_change_rolls_it_back_with_its_reason() {
     let mut fleet = Fleet::new(6, Change::Nothing, 65);
--- a/crates/server/src/lifecycle/configuration.rs
+++ b/crates/server/src/lifecycle/configuration.rs
@@ -76,6 +76,9 @@
     pub own: u64,
     /// Their hash, where the server goes by them.
     pub adopted: Option<u64>,
+    /// The program of a change, and the file that names it to whoever starts the server.
+    pub program: Option<PathBuf>,
+    pub program_mark: PathBuf,
 }
 
 /// What settings are known by: the first eight bytes of the SHA-256 of their file.
@@ -208,8 +211,16 @@
                 let mut mark = path.as_os_str().to_os_string();
                 mark.push(".adopted");
                 let own = hash_of(&std::fs::read(path)?);
-                let (path, mark) = (folder.join(&rollout.candidate), PathBuf::from(mark));
-                *read.candidate.borrow_mut() = Some(Candidate { path, mark, own, adopted: None });
+                let mut program_mark = path.as_os_str().to_os_string();
+                program_mark.push(".program");
+                *read.candidate.borrow_mut() = Some(Candidate {
+                    path: folder.join(&rollout.candidate),
+                    mark: PathBuf::from(mark),
+                    own,
+                    adopted: None,
+                    program: rollout.program.as_ref().map(|program| folder.join(program)),
+                    program_mark: PathBuf::from(program_mark),
+                });
             }
             let site = &mut read.settings.deployment;
             if let Some(tenants) = &options.tenants {
--- a/crates/server/src/lifecycle/coordinate.rs
+++ b/crates/server/src/lifecycle/coordinate.rs
@@ -13,7 +13,7 @@
 use meadowstream_options::{Options, PlanFile};
 use meadowstream_rollout::machine::{Act, Coordinator, Phase, Saved, View};
 use meadowstream_rollout::plan::Plan;
-use meadowstream_rollout::wire;
+use meadowstream_rollout::wire::{self, Kind};
 use meadowstream_shared_state::clock::Reading;
 use meadowstream_shared_state::{ORDER_REPORTS, ORDERS, SharedState, Who};
 use std::net::UdpSocket;
@@ -93,7 +93,9 @@
     let file = PlanFile::load(&given.plan)?;
     let candidate = given.plan.parent().unwrap_or(Path::new(".")).join(&file.candidate);
     let bytes = std::fs::read(&candidate).with_context(|| format!("cannot read {}", candidate.display()))?;
-    configuration::read_change(&candidate)?;
+    if file.plan.kind == Kind::Settings {
+        configuration::read_change(&candidate)?;
+    }
     let plan = Plan { candidate: hash_of(&bytes), ..file.plan };
     let options = Options::load(&given.options)?;
     let own = options.membership.as_ref();
--- a/crates/server/src/lifecycle/drain.rs
+++ b/crates/server/src/lifecycle/drain.rs
@@ -18,10 +18,16 @@
     server.connections.all_enough();
 }
 
+/// A server that leaves of its own accord ends at the stop at the latest, as nobody else ends it then.
+fn has_stopped(server: &Server) -> bool {
+    server.stop_at.get().is_some_and(|at| server.clock.now() >= at)
+}
+
 /// No connection is left that could bring a call. They end by themselves: each hears `enough`, at the end of
 /// the grace or with its next answer, and its peer closes it when all on it is answered.
 pub fn is_over(server: &Server) -> bool {
-    server.grace_over.get() && server.connections.count() == 0 && server.inputs.is_empty()
+    let over = server.grace_over.get() && server.connections.count() == 0 && server.inputs.is_empty();
+    over || has_stopped(server)
 }
 
 /// Returns when it is worth asking whether the drain is over.
--- a/crates/server/src/lifecycle/signals.rs
+++ b/crates/server/src/lifecycle/signals.rs
@@ -3,9 +3,9 @@
 use super::drain;
 use super::tasks::{Input, Server};
 use anyhow::Result;
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use futures_lite::{StreamExt, future};
 use std::rc::Rc;
 use tracing::{info, warn};
 
@@ -14,8 +14,16 @@
 }
 
 /// Holds the sender whose end tells all tasks that the server leaves.
-pub async fn heed(server: Rc<Server>, mut signals: Signals, stay: Sender<()>) {
-    while let Some(signal) = signals.next().await {
+/// `ends` brings the same as SIGTERM.
+pub async fn heed(server: Rc<Server>, mut signals: Signals, ends: Receiver<()>, stay: Sender<()>) {
+    loop {
+        let told = async {
+            match ends.recv().await {
+                Ok(()) => Some(Ok(Signal::Term)),
+                Err(_) => future::pending().await,
+            }
+        };
+        let Some(signal) = future::or(signals.next(), told).await else { return };
         match signal {
             Ok(Signal::Usr1) => {
                 info!("counters:{}", server.counters);
--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -56,11 +56,15 @@
     if let Some((shared, tenants)) = shared.as_ref().zip(configuration.options.borrow().tenants.as_ref()) {
         shared.name_tenants(tenants.fair.named.iter().map(|(name, _)| name.as_slice()));
     }
+    let (ends, ended) = async_channel::bounded(1);
     let candidate = configuration.candidate.borrow().clone();
     let of_rollouts = configuration.options.borrow().rollout.clone();
     let rollout = candidate.zip(of_rollouts).map(|(candidate, given)| {
         let operations = &configuration.settings.operation_names;
-        Rollout::new(candidate, given.lease, operations).map_err(|fault| anyhow!("<rollout>: {fault}"))
+        let name = configuration.membership.as_ref().map_or(String::new(), |fleet| fleet.name.clone());
+        let me = Who { name, incarnation };
+        Rollout::new(candidate, me, given.lease, operations, ends.clone())
+            .map_err(|fault| anyhow!("<rollout>: {fault}"))
     });
     let rollout = rollout.transpose()?;
     let server = Rc::new(Server {
@@ -74,13 +78,14 @@
         descriptors,
         buffered: Cell::new(0),
         grace_over: Cell::new(false),
+        stop_at: Cell::new(None),
         moved: async_channel::bounded(1),
         counters: Counters::default(),
         left,
         shared,
         rollout,
     });
-    executor.spawn(signals::heed(server.clone(), signals, stay)).detach();
+    executor.spawn(signals::heed(server.clone(), signals, ended, stay)).detach();
     executor.spawn(link::keep(server.clone())).detach();
     executor.spawn(catalog::report(server.clone())).detach();
     executor.spawn(Decisions::new(server.clone()).run(queue)).detach();
--- a/crates/server/src/lifecycle/tasks/fleet.rs
+++ b/crates/server/src/lifecycle/tasks/fleet.rs
@@ -8,7 +8,7 @@
 use meadowstream_membership::envelope::DATAGRAM_MAX;
 use meadowstream_membership::{Change, Id, Membership, Seen, Standing};
 use meadowstream_rollout::wire;
-use meadowstream_shared_state::{ORDER_REPORTS, ORDERS};
+use meadowstream_shared_state::{ABOUTS, ORDER_REPORTS, ORDERS};
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use tracing::{info, warn};
@@ -62,7 +62,7 @@
             // finds the pipe full, and a reader must not be left with a view that no longer stands.
             let stale = now() >= shown_at + fleet.settings.announce_period;
             if stale || shown.as_ref() != Some(&states) || core.counts().dropped_all() != dropped_shown {
-                show(&core, &view, now());
+                show(&core, &view, &runs(&server, &view), now());
                 shown_at = now();
                 (shown, dropped_shown) = (Some(states), core.counts().dropped_all());
             }
@@ -113,8 +113,12 @@
     due: u64,
     shown: crate::memory::shared::Shown,
     shown_at: u64,
+    /// When this server last told another what it and others run.
+    told_at: u64,
 }
 
+const TOLD_EVERY: u64 = 200_000_000;
+
 /// How often what is shared is shown at least.
 const SHOWN_EVERY: u64 = 500_000_000;
 
@@ -128,6 +132,11 @@
         let answers = !came.is_empty();
         shared.heard(came);
         for (from, topic, body) in shared.others() {
+            if topic == ABOUTS
+                && let Some((rollout, words)) = server.rollout.as_ref().zip(wire::decode(&body))
+            {
+                rollout.abouts.borrow_mut().hear(words);
+            }
             let order = (topic == ORDERS).then(|| wire::decode::<wire::Order>(&body)).flatten();
             let Some((rollout, order)) = server.rollout.as_ref().zip(order) else { continue };
             if let Some(report) = rollout::obey(server, rollout, order) {
@@ -141,6 +150,16 @@
         let view = core.view(now);
         let alive: Vec<String> =
             view.iter().filter(|s| s.state == Standing::Alive).map(|s| s.name.clone()).collect();
+        if let Some(rollout) = server.rollout.as_ref().filter(|_| now >= self.told_at + TOLD_EVERY) {
+            self.told_at = now;
+            let mut abouts = rollout.abouts.borrow_mut();
+            abouts.keep(|name| view.iter().any(|s| s.name == name && s.state != Standing::Down));
+            if !alive.is_empty() {
+                // Whoever comes next in turn, from a place that differs by server.
+                let at = (now / TOLD_EVERY).wrapping_add(abouts.me().incarnation) as usize % alive.len();
+                shared.send_other(&alive[at], ABOUTS, wire::encode(&abouts.tell(now)));
+            }
+        }
         let (out, again) = shared.advance(&alive, &server.counters);
         for (name, body) in out {
             if let Some(to) = view.iter().find(|s| s.name == name && s.state != Standing::Down) {
@@ -189,12 +208,23 @@
     }
 }
 
+/// The version and the hash of the settings of this server and each of the view, by name, as far as heard;
+/// empty where the options name no `<rollout>`.
+fn runs(server: &Server, view: &[Seen]) -> String {
+    let Some(rollout) = &server.rollout else { return String::new() };
+    let abouts = rollout.abouts.borrow();
+    let names = view.iter().map(|seen| seen.name.as_str()).chain([abouts.me().name.as_str()]);
+    let known = names.filter_map(|name| abouts.of(name));
+    let runs = known.map(|about| (&about.name, (&about.version, format!("{:016x}", about.settings))));
+    serde_json::to_string(&runs.collect::<std::collections::BTreeMap<_, _>>()).unwrap_or_default()
+}
+
 /// One line for the whole view: each member with its state and since when, the drops by reason.
-fn show(core: &Membership, view: &[Seen], now: u64) {
+fn show(core: &Membership, view: &[Seen], runs: &str, now: u64) {
     let count = |state| view.iter().filter(|s| s.state == state).count();
     let members = serde_json::to_string(view).unwrap_or_default();
     let counts = serde_json::to_string(core.counts()).unwrap_or_default();
     let settled_ms = now.saturating_sub(core.last_change()) / 1_000_000;
     info!(target: "fleet", alive = count(Standing::Alive), suspect = count(Standing::Suspect),
-        down = count(Standing::Down), settled_ms, members, counts, "view");
+        down = count(Standing::Down), settled_ms, members, runs, counts, "view");
 }
--- a/crates/server/src/lifecycle/tasks/mod.rs
+++ b/crates/server/src/lifecycle/tasks/mod.rs
@@ -41,6 +41,8 @@
     pub moved: (Sender<()>, Receiver<()>),
     /// The server leaves, and wants no more calls.
     pub grace_over: Cell<bool>,
+    /// When it ends at the latest, where it leaves of its own accord.
+    pub stop_at: Cell<Option<Nanos>>,
     /// Closed once the server is to leave.
     pub left: Receiver<()>,
     /// What the servers share, where the options say so.
--- a/crates/server/src/lifecycle/tasks/rollout.rs
+++ b/crates/server/src/lifecycle/tasks/rollout.rs
@@ -3,19 +3,33 @@
 //! reported, so that it is the same after a crash.
 
 use super::Server;
-use crate::lifecycle::configuration::Candidate;
+use crate::lifecycle::configuration::{Candidate, hash_of};
 use crate::lifecycle::signals;
 use crate::memory::figures::Record;
-use meadowstream_rollout::wire::{Order, Report};
+use anyhow::Context;
+use async_channel::Sender;
+use meadowstream_rollout::about::{About, Abouts};
+use meadowstream_rollout::wire::{Kind, Order, Report};
+use meadowstream_shared_state::Who;
 use std::cell::{Cell, RefCell};
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use tracing::{info, warn};
 
+/// Servers of which is remembered what they run.
+const ABOUTS_MAX: usize = 4096;
+
 pub struct Rollout {
     pub record: Record,
     candidate: Candidate,
+    /// What each server of the fleet runs.
+    pub abouts: RefCell<Abouts>,
+    /// Hash of this program's own file, and whether it is one that a change named.
+    program: u64,
+    program_adopted: bool,
+    /// Told once it is to end for another program to be started.
+    leave: Sender<()>,
     /// For how long a plan that is under way here is not given up for another.
     lease: u64,
     last: RefCell<Last>,
@@ -36,9 +50,28 @@
 }
 
 impl Rollout {
-    pub fn new(candidate: Candidate, lease: u64, operations: &[String]) -> Result<Rollout, String> {
+    pub fn new(
+        candidate: Candidate,
+        me: Who,
+        lease: u64,
+        operations: &[String],
+        leave: Sender<()>,
+    ) -> Result<Rollout, String> {
+        let own = || std::env::current_exe().and_then(std::fs::read);
+        // Only where a change of the program may come: the file is large.
+        let own = candidate.program.as_ref().map(|_| own()).transpose();
+        let own = own.map_err(|error| format!("cannot read this program: {error}"))?;
+        let program = own.map_or(0, |own| hash_of(&own));
+        let marked = std::fs::read_to_string(&candidate.program_mark).unwrap_or_default();
+        let settings = candidate.adopted.unwrap_or(candidate.own);
+        let version = env!("CARGO_PKG_VERSION").to_string();
+        let about = About { name: me.name, incarnation: me.incarnation, change: 0, version, settings };
         Ok(Rollout {
             record: Record::new(operations)?,
+            abouts: RefCell::new(Abouts::new(about, ABOUTS_MAX)),
+            program,
+            program_adopted: marked.starts_with(&format!("{program:016x} ")),
+            leave,
             stands: Cell::new(candidate.adopted),
             candidate,
             lease,
@@ -61,11 +94,15 @@
     let under_way = rollout.stands.get().is_some() && now < last.at + rollout.lease;
     let report = |refused| {
         let stands = rollout.stands.get();
+        let (settings, adopted) = match order.kind {
+            Kind::Settings => (stands.unwrap_or(rollout.candidate.own), stands.is_some()),
+            Kind::Program => (rollout.program, rollout.program_adopted),
+        };
         Report {
             number: order.number,
             version: env!("CARGO_PKG_VERSION").to_string(),
-            settings: stands.unwrap_or(rollout.candidate.own),
-            adopted: stands.is_some(),
+            settings,
+            adopted,
             refused,
             interval: rollout.intervals.get(),
             classes: Vec::new(),
@@ -80,8 +117,20 @@
     }
     *last = Last { plan: order.plan, life: order.life, number: order.number, at: now };
     drop(last);
-    if order.adopt != rollout.stands.get() && !rollout.changing.replace(true) {
-        server.executor.spawn(change(server.clone(), order.adopt)).detach();
+    let (kind, adopt) = (order.kind, order.adopt);
+    let does = match kind {
+        Kind::Settings => adopt == rollout.stands.get(),
+        Kind::Program => adopt == rollout.program_adopted.then_some(rollout.program),
+    };
+    if !does && !rollout.changing.replace(true) {
+        let server2 = server.clone();
+        let task = async move {
+            match kind {
+                Kind::Settings => change(server2, adopt).await,
+                Kind::Program => change_program(server2, adopt).await,
+            }
+        };
+        server.executor.spawn(task).detach();
     }
     rollout.intervals.set(rollout.intervals.get() + 1);
     let refused = rollout.refused.borrow().clone();
@@ -111,6 +160,7 @@
             rollout.stands.set(adopt);
             *rollout.refused.borrow_mut() = None;
             let settings = adopt.unwrap_or(rollout.candidate.own);
+            rollout.abouts.borrow_mut().changed(settings);
             info!(target: "fleet", adopted = adopt.is_some(), settings = format!("{settings:016x}"), "settings");
             signals::took_over(&server).await;
             // What was done by other settings is not told as done by these.
@@ -125,6 +175,36 @@
     rollout.changing.set(false);
 }
 
+/// Names the program to be started next in the mark, or takes the mark back, and has the server leave as at a
+/// SIGTERM. Nothing more is done here: the next life reports what it is.
+async fn change_program(server: Rc<Server>, adopt: Option<u64>) {
+    let Some(rollout) = &server.rollout else { return };
+    let (mark, program) = (rollout.candidate.program_mark.clone(), rollout.candidate.program.clone());
+    let done = blocking::unblock(move || -> anyhow::Result<()> {
+        let Some(hash) = adopt else { return Ok(remove(&mark)?) };
+        let program = program.context("<rollout>: program is not in the options")?;
+        let shown = program.display();
+        let found = hash_of(&std::fs::read(&program).with_context(|| format!("cannot read {shown}"))?);
+        anyhow::ensure!(found == hash, "{shown} has the hash {found:016x}, not {hash:016x}");
+        Ok(write(&mark, &format!("{hash:016x} {shown}\n"))?)
+    })
+    .await;
+    match done {
+        Ok(()) => {
+            info!(target: "fleet", program = adopt.is_some(), "ends for another program");
+            let stop = server.configuration.stop_ms * 1_000_000;
+            server.stop_at.set(Some(server.clock.now() + stop));
+            let _ = rollout.leave.try_send(());
+        }
+        Err(error) => {
+            let why: String = format!("{error:#}").chars().take(200).collect();
+            warn!(target: "fleet", why, "an order of a rollout was refused");
+            *rollout.refused.borrow_mut() = Some(why);
+            rollout.changing.set(false);
+        }
+    }
+}
+
 /// Written whole or not at all, and there to stay: file, rename, folder.
 pub fn write(path: &Path, text: &str) -> std::io::Result<()> {
     let mut beside = path.as_os_str().to_os_string();
--- a/crates/server/tests/fleet_rollout.rs
+++ b/crates/server/tests/fleet_rollout.rs
@@ -5,20 +5,36 @@
 use meadowstream_stand_ins::load::{Answers, flood};
 use meadowstream_stand_ins::parties;
 use std::io::{BufRead, BufReader};
-use std::net::UdpSocket;
+use std::net::{TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 const ALL: [usize; 6] = [0, 1, 2, 3, 4, 5];
 const VOTERS: &str = r#"<voter name="s0"/><voter name="s1"/><voter name="s2"/>"#;
 
+/// One test at a time: each has seven processes and steps of a quarter of a second.
+static TURN: Mutex<()> = Mutex::new(());
+
+fn turn() -> MutexGuard<'static, ()> {
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn stage(seed: u64) -> Stage {
     let (records, _) = parties::records(Duration::from_millis(5)).unwrap();
-    let rollout = format!(r#"<rollout candidate="next.xml" servers="10" lease-ms="1500">{VOTERS}</rollout>"#);
-    let extra = Extra { cores: 2.0, records: vec![records; 6], options: rollout, ..Extra::default() };
+    let rollout = format!(
+        r#"<rollout candidate="next.xml" program="next" servers="10" lease-ms="1500">{VOTERS}</rollout>"#
+    );
+    // The same ports after a restart, at an address of this test's own: free ones, held together until all
+    // are known.
+    let own = format!("127.0.{seed}.1:0");
+    let held: Vec<TcpListener> = (0..8).map(|_| TcpListener::bind(&own).unwrap()).collect();
+    let listens = held.iter().map(|listener| listener.local_addr().unwrap()).collect();
+    drop(held);
+    let extra =
+        Extra { cores: 2.0, records: vec![records; 6], options: rollout, listens, ..Extra::default() };
     let program = Path::new(env!("CARGO_BIN_EXE_meadowstream"));
     // Two faces beyond the servers, for coordinators.
     let stage = Stage::with(program, 8, 6, seed, extra).unwrap();
@@ -143,10 +159,17 @@
     answers
 }
 
+/// The settings that server `i` says another goes by, by its last view line.
+fn runs(stage: &Stage, i: usize, name: &str) -> String {
+    let runs = stage.view_field(i, "runs").unwrap_or_default();
+    runs[name][1].as_str().unwrap_or("").to_string()
+}
+
 /// A reference far under what the load needs throttles much of it: seen at the first stage, taken back on the
 /// one server that had it, and the five others never went by it.
 #[test]
 fn a_bad_change_is_stopped_at_its_first_stage_and_rolled_back() {
+    let _turn = turn();
     let stage = stage(41);
     candidate(&stage, "<control reference=\"0.15\"/>");
     let plan = plan(&stage, "too-low");
@@ -163,6 +186,7 @@
     assert!(ALL.iter().all(|i| !mark(&stage, *i).exists()));
     let answers = all_answered(load);
     let throttled: Vec<u64> = answers.iter().map(|each| each.throttled).collect();
+    assert!(ALL.iter().all(|i| stage.ran_twice(*i) == 0));
     println!("throttled by server: {throttled:?}, touched {:?}", touched(&stage));
     // The same plan is not begun again by mistake.
     let again = Coordinator::start(&stage, &plan, 6, 5).end(Duration::from_secs(10));
@@ -173,6 +197,7 @@
 /// the first one started again goes through all stages. A server killed afterwards starts by the change.
 #[test]
 fn a_good_change_goes_through_though_the_coordinator_is_killed_and_another_plan_comes() {
+    let _turn = turn();
     let mut stage = stage(42);
     candidate(&stage, "<control reference=\"0.88\"/>");
     let (good, other) = (plan(&stage, "good"), plan(&stage, "other"));
@@ -188,6 +213,17 @@
     drop(coordinator);
     let before = changed(&stage);
     assert_eq!(before.len(), 3);
+    // The servers know of each other who goes by the change.
+    let known = || {
+        let same =
+            |i: usize, j: usize| runs(&stage, i, &format!("s{j}")) == runs(&stage, j, &format!("s{j}"));
+        let all = ALL.iter().all(|&i| ALL.iter().all(|&j| same(i, j)));
+        let kinds: std::collections::BTreeSet<String> =
+            ALL.iter().map(|j| runs(&stage, 0, &format!("s{j}"))).collect();
+        // Each one's own options differ, those of the change do not.
+        (all && kinds.len() == 4 && !kinds.contains("")).then_some(())
+    };
+    assert!(wait(Duration::from_secs(8), known).is_some(), "{:?}", stage.view_field(0, "runs"));
     std::thread::sleep(Duration::from_secs(1));
     let mut again = Coordinator::start(&stage, &good, 6, 30);
     let code = again.end(Duration::from_secs(45));
@@ -215,6 +251,7 @@
 /// Then an operator's abort rolls back.
 #[test]
 fn a_partition_makes_a_stage_wait_and_an_abort_rolls_back() {
+    let _turn = turn();
     let stage = stage(43);
     candidate(&stage, "<control reference=\"0.88\"/>");
     let plan = plan(&stage, "cut");
@@ -251,6 +288,7 @@
 /// A change that the servers refuse, a plan with a fault, a candidate with one: each says where.
 #[test]
 fn what_cannot_be_done_is_refused_with_its_place() {
+    let _turn = turn();
     let stage = stage(44);
     // Good for the coordinator, but another in a server's folder: they differ by the time it is told.
     candidate(&stage, "<control reference=\"7\"/>");
@@ -282,3 +320,62 @@
     assert!(touched(&stage).is_empty());
     all_answered(load);
 }
+
+/// Another program goes out: each server of a stage ends by itself once all it has is answered, and a stand-in
+/// supervisor starts the program that its mark names. One that never comes up again rolls the others back.
+#[test]
+fn a_program_goes_out_by_restarts_and_comes_back_where_one_fails() {
+    let _turn = turn();
+    for (broken, seed) in [(false, 45), (true, 46)] {
+        let mut stage = stage(seed);
+        let next = stage.folder().join("next");
+        let mut bytes = std::fs::read(env!("CARGO_BIN_EXE_meadowstream")).unwrap();
+        // The same program with a tail that nothing reads, so that its hash is another.
+        bytes.extend(b"next");
+        std::fs::write(&next, bytes).unwrap();
+        std::fs::set_permissions(&next, std::os::unix::fs::PermissionsExt::from_mode(0o755)).unwrap();
+        let path = plan(&stage, "program");
+        let text = std::fs::read_to_string(&path)
+            .unwrap()
+            .replace("candidate=\"next.xml\"", "program=\"next\" warm-up-ms=\"4000\"");
+        std::fs::write(&path, text).unwrap();
+        let load = floods(&stage, Duration::from_secs(if broken { 25 } else { 40 }));
+        let mut coordinator = Coordinator::start(&stage, &path, 6, 20);
+        let (began, mut restarts) = (Instant::now(), Vec::new());
+        let code = loop {
+            let started =
+                if broken && !restarts.is_empty() { Vec::new() } else { stage.supervise().unwrap() };
+            restarts.extend(started);
+            if let Some(ended) = coordinator.child.try_wait().unwrap() {
+                break ended.code();
+            }
+            assert!(began.elapsed() < Duration::from_secs(70), "{:#?}", coordinator.lines.lock().unwrap());
+            if broken && restarts.len() == 1 {
+                // The first to come back is stopped for good: it never reports.
+                stage.signal_only(restarts[0], "STOP").unwrap();
+                restarts.push(restarts[0]);
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        };
+        std::thread::sleep(Duration::from_millis(100));
+        println!("broken {broken}: {restarts:?} {:#?}", coordinator.lines.lock().unwrap());
+        let answers: Vec<Answers> = load.into_iter().map(|flood| flood.join().unwrap()).collect();
+        println!("{answers:?}");
+        // What comes while nobody listens finds no connection, and what comes before the new life has its link to
+        // the interpreter is answered with an error at once: a fiftieth of the load at most, over all.
+        for (i, each) in answers.iter().enumerate() {
+            let stopped = broken && restarts.contains(&i);
+            assert!(stopped || (each.errored + each.none) * 50 <= each.sent, "s{i}: {answers:?}");
+            assert_eq!(stage.ran_twice(i), 0);
+        }
+        if broken {
+            assert_eq!(code, Some(1));
+            assert!(!coordinator.said("stage 2"));
+            assert!(coordinator.said("rolled back: s2 gone since the change; NOT CONFIRMED by s2"));
+        } else {
+            assert_eq!(code, Some(0));
+            restarts.sort();
+            assert_eq!(restarts, ALL);
+        }
+    }
+}
--- a/crates/server/tests/fleet_state.rs
+++ b/crates/server/tests/fleet_state.rs
@@ -222,6 +222,7 @@
             records: vec![parties[0].0; 5],
             options: r#"<tenants by="sender"><tenant name="1"/></tenants>"#.into(),
             own_options: (0..5).map(own).collect(),
+            ..Extra::default()
         };
         let program = Path::new(env!("CARGO_BIN_EXE_meadowstream"));
         let stage = Stage::with(program, 5, 5, seed, extra).unwrap();
--- a/crates/stand-ins/src/fleet.rs
+++ b/crates/stand-ins/src/fleet.rs
@@ -3,6 +3,7 @@
 //! each server saw is read from its own log (JSON lines), and a table says when each saw each change and
 //! when the views agreed. Bounded: every wait has its limit, and each process is killed at the end.
 
+use crate::interpreter;
 use crate::relay::Relay;
 use anyhow::{Context, Result, bail};
 use serde_json::{Value, json};
@@ -11,6 +12,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -24,6 +26,7 @@
 struct Process {
     child: Child,
     lines: Lines,
+    seen: Option<Arc<interpreter::Seen>>,
 }
 
 impl Drop for Process {
@@ -34,6 +37,19 @@
     }
 }
 
+/// Reads the log of a process until it ends.
+fn read_log(child: &mut Child, into: Lines) -> Result<()> {
+    let stderr = BufReader::new(child.stderr.take().context("no log")?);
+    std::thread::spawn(move || {
+        for line in stderr.lines().map_while(Result::ok) {
+            if let Ok(value) = serde_json::from_str::<Value>(&line) {
+                into.lock().expect("lines").push((Instant::now(), value));
+            }
+        }
+    });
+    Ok(())
+}
+
 /// What a stage gives its processes beside the view.
 #[derive(Default)]
 pub struct Extra {
@@ -45,6 +61,8 @@
     pub options: String,
     /// More of them, for each server its own.
     pub own_options: Vec<String>,
+    /// Where each takes calls; a free port of its own where not given.
+    pub listens: Vec<SocketAddr>,
 }
 
 /// Processes of the program behind a relay.
@@ -97,14 +115,16 @@
 
     /// Starts process `i`, or starts it again after it was killed.
     pub fn start(&mut self, i: usize) -> Result<()> {
-        let mut vm = self._vm.local_addr()?.to_string();
+        let (mut vm, mut seen) = (self._vm.local_addr()?.to_string(), None);
         if self.extra.cores > 0.0 {
-            vm = crate::interpreter::start(self.extra.cores)?.0.to_string();
+            let started = interpreter::start(self.extra.cores)?;
+            (vm, seen) = (started.0.to_string(), Some(started.1));
         }
+        let listen = self.extra.listens.get(i).map_or("127.0.0.1:0".to_string(), |at| at.to_string());
         let records = self.extra.records.get(i).map_or(vm.clone(), |at| at.to_string());
         let cores = self.extra.cores.max(1.0);
         let configuration = json!({
-            "name": format!("s{i}"), "listen": "127.0.0.1:0", "vm": vm, "records": records,
+            "name": format!("s{i}"), "listen": listen, "vm": vm, "records": records,
             "directory": self._catalog.local_addr()?.to_string(), "seed": "8c1f30d27a5be964",
             "stop_ms": 2000, "limits": {"cores": cores, "memory_mb": 192, "sockets": 256},
             "settings": {
@@ -136,36 +156,69 @@
         let (config, xml) = (self.folder.join(format!("s{i}.json")), self.folder.join(format!("s{i}.xml")));
         std::fs::write(&config, configuration.to_string())?;
         std::fs::write(&xml, options)?;
-        let mut child = Command::new(&self.program)
+        let mut child = self.spawn(i)?;
+        let lines: Lines = Arc::default();
+        read_log(&mut child, lines.clone())?;
+        let process = Process { child, lines, seen };
+        let bound = self.bound(i, &process, 0)?;
+        self.relay.register(i, bound);
+        self.processes[i] = Some(process);
+        Ok(())
+    }
+
+    /// The program of its mark, or the stage's.
+    fn spawn(&self, i: usize) -> Result<Child> {
+        let mark = std::fs::read_to_string(self.folder.join(format!("s{i}.xml.program"))).ok();
+        let marked = mark.as_ref().and_then(|mark| mark.trim().split_once(' ')).map(|(_, path)| path);
+        Command::new(marked.map_or(self.program.as_path(), Path::new))
             .args(["serve", "--log", "json", "--config"])
-            .arg(&config)
+            .arg(self.folder.join(format!("s{i}.json")))
             .arg("--options")
-            .arg(&xml)
+            .arg(self.folder.join(format!("s{i}.xml")))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
-            .context("cannot start the program")?;
-        let lines: Lines = Arc::default();
-        let stderr = BufReader::new(child.stderr.take().context("no log")?);
-        let into = lines.clone();
-        std::thread::spawn(move || {
-            for line in stderr.lines().map_while(Result::ok) {
-                if let Ok(value) = serde_json::from_str::<Value>(&line) {
-                    into.lock().expect("lines").push((Instant::now(), value));
-                }
-            }
-        });
-        let process = Process { child, lines };
-        let bound = wait(PATIENCE, || {
+            .context("cannot start the program")
+    }
+
+    /// The address of the fleet's view that it says in its log, after so many starts before.
+    fn bound(&self, i: usize, process: &Process, before: usize) -> Result<SocketAddr> {
+        wait(PATIENCE, || {
             let lines = process.lines.lock().expect("lines");
-            let (_, joining) = lines.iter().find(|(_, l)| l["fields"]["message"] == "joining")?;
+            let (_, joining) =
+                lines.iter().filter(|(_, l)| l["fields"]["message"] == "joining").nth(before)?;
             joining["fields"]["bound"].as_str()?.parse::<SocketAddr>().ok()
         })
-        .with_context(|| format!("s{i} did not start"))?;
-        self.relay.register(i, bound);
-        self.processes[i] = Some(process);
-        Ok(())
+        .with_context(|| format!("s{i} did not start"))
+    }
+
+    /// What a supervisor does: whichever process has ended by itself is started again, as the program that its
+    /// mark names. Returns those it started.
+    pub fn supervise(&mut self) -> Result<Vec<usize>> {
+        let mut started = Vec::new();
+        for i in 0..self.processes.len() {
+            let Some(process) = &mut self.processes[i] else { continue };
+            if process.child.try_wait()?.is_none() {
+                continue;
+            }
+            let mut process = self.processes[i].take().expect("there a line before");
+            let joined = |(_, l): &&(Instant, Value)| l["fields"]["message"] == "joining";
+            let before = process.lines.lock().expect("lines").iter().filter(joined).count();
+            process.child = self.spawn(i)?;
+            read_log(&mut process.child, process.lines.clone())?;
+            let bound = self.bound(i, &process, before)?;
+            self.relay.register(i, bound);
+            self.processes[i] = Some(process);
+            started.push(i);
+        }
+        Ok(started)
+    }
+
+    /// Runs of server `i` begun twice, as its interpreter counts them.
+    pub fn ran_twice(&self, i: usize) -> u64 {
+        let seen = self.processes[i].as_ref().and_then(|process| process.seen.as_ref());
+        seen.map_or(0, |seen| seen.twice.load(Relaxed))
     }
 
     /// Sends a signal by name (KILL, STOP, CONT) to server `i`; after KILL it is gone from the stage.
