A run that waits at its call ends with its invocation, told by the server

Cause: an invocation answered while its run waited at a call stayed counted as waiting where the interpreter does not end such runs by itself (the platform's does, our stand-in does not): calls were taken to be full for good and all was refused, floors of a budget included. Change: the server sends BREAK for such a run, but for tokened ones. The refusal of a bad budget names <shared-state> alone again.

--- a/crates/server/src/lifecycle/configuration.rs
+++ b/crates/server/src/lifecycle/configuration.rs
@@ -144,7 +144,9 @@
         gossip: given.map_or(500_000_000, |given| given.gossip),
         body_max,
     };
-    settings.check().map_err(|fault| anyhow!("<shared-state>, <rollout>: {fault}"))?;
+    settings.check().map_err(|fault| {
+        anyhow!("{}: {fault}", if given.is_some() { "<shared-state>" } else { "<rollout>" })
+    })?;
     Ok(Some(settings))
 }
 
--- a/crates/server/src/lifecycle/tasks/decisions.rs
+++ b/crates/server/src/lifecycle/tasks/decisions.rs
@@ -166,6 +166,7 @@
                     unconfirmed: None,
                     stopping: None,
                     asked: Vec::new(),
+                    waits: false,
                     call: None,
                     called: None,
                 };
@@ -293,7 +294,7 @@
                 let Some(inv) = self.hands.invocations.find(task) else { return };
                 self.hands.server.counters.awaits.add();
                 let invocation = self.hands.invocations.get(inv).expect("found just now");
-                (invocation.asked, invocation.unconfirmed) = (body, None);
+                (invocation.asked, invocation.waits, invocation.unconfirmed) = (body, true, None);
                 self.with_brain(|brain, now, hands| brain.needs_call(now, inv, hands));
             }
             Notice::Gauges { nonce, readings } => {
@@ -455,10 +456,23 @@
                 self.repeats.waits_no_more(of, inv);
             }
             self.drop_call(inv);
+            self.end_at_its_call(inv);
             self.invocations.release(inv);
         }
     }
 
+    /// A run that waits at a call, for which nobody waits any more, is told to end. Guards against an interpreter
+    /// that does not know that its invocation is over: the run stayed, counted as waiting for its call, and a
+    /// server that had been stopped for a while refused all that came from then on. A tokened run may still be of
+    /// use to its repeats.
+    fn end_at_its_call(&mut self, inv: u64) {
+        let operations = &self.server.configuration.settings.deployment.operations;
+        let Some(invocation) = self.invocations.get(inv).filter(|i| i.runs && i.waits) else { return };
+        if operations[invocation.operation].effect != Effect::Tokened {
+            self.stop(inv);
+        }
+    }
+
     fn drop_call(&mut self, inv: u64) {
         let call = self.invocations.get(inv).and_then(|invocation| invocation.call.take());
         if let Some((number, _)) = call {
@@ -502,7 +516,7 @@
         if ending == Ending::Succeeded {
             counters.replies_sent.add();
             let line = interpreter::resolve(invocation.reference, reply);
-            invocation.asked = Vec::new();
+            (invocation.asked, invocation.waits) = (Vec::new(), false);
             self.send_for(inv, line);
         }
         true
@@ -586,7 +600,7 @@
         let reply = self.server.configuration.options.borrow().left_out.clone();
         let Some(reply) = reply else { return self.cannot(inv, "leaving a call out") };
         let Some(invocation) = self.invocations.get(inv) else { return };
-        invocation.asked = Vec::new();
+        (invocation.asked, invocation.waits) = (Vec::new(), false);
         let line = interpreter::resolve(invocation.reference, reply.as_bytes());
         self.server.counters.calls_left_out.add();
         self.send_for(inv, line);
--- a/crates/server/src/memory/invocations.rs
+++ b/crates/server/src/memory/invocations.rs
@@ -26,6 +26,8 @@
     pub stopping: Option<u64>,
     /// The body of the call at which the run waits.
     pub asked: Vec<u8>,
+    /// Whether the run waits at a call.
+    pub waits: bool,
     /// The call under way and its number; dropped, it is given up.
     pub call: Option<(u64, Task<()>)>,
     /// The service of the tier below that its last call went to.
