--- a/crates/server/src/lifecycle/tasks/decisions.rs
+++ b/crates/server/src/lifecycle/tasks/decisions.rs
@@ -461,10 +461,10 @@
         }
     }
 
-    /// A run that waits at a call, for which nobody waits any more, is told to end. Guards against an interpreter
-    /// that does not know that its invocation is over: the run stayed, counted as waiting for its call, and a
-    /// server that had been stopped for a while refused all that came from then on. A tokened run may still be of
-    /// use to its repeats.
+    /// A run that waits at a call, for which nobody waits any more, is told to end. Guards against an
+    /// interpreter that does not know that its invocation is over: the run stayed, counted as waiting for
+    /// its call, and a server that had been stopped for a while refused all that came from then on. A
+    /// tokened run may still be of use to its repeats.
     fn end_at_its_call(&mut self, inv: u64) {
         let operations = &self.server.configuration.settings.deployment.operations;
         let Some(invocation) = self.invocations.get(inv).filter(|i| i.runs && i.waits) else { return };
--- a/crates/shared-state/tests/fleet.rs
+++ b/crates/shared-state/tests/fleet.rs
@@ -322,8 +322,8 @@
     assert!(even >= 0.9 && uneven >= 0.6 && crashed >= 0.85, "{even} {uneven} {crashed}");
 }
 
-/// The messages as the release before had them, written out: what it sends is read here, what it does not know
-/// it refuses whole, counts as malformed and goes on.
+/// The messages as the release before had them, written out: what it sends is read here, what it does not
+/// know it refuses whole, counts as malformed and goes on.
 mod release_before {
     use meadowstream_shared_state::Who;
     use meadowstream_shared_state::budget::Say;
