--- a/crates/rollout/src/canary.rs
+++ b/crates/rollout/src/canary.rs
@@ -9,7 +9,7 @@
 //!   own and of what the sums of the intervals show with their lags (Newey and West 1987);
 //! - a baseline is a mean of few intervals, and what it is off by stays in every difference: twice its
 //!   standard error is taken off the difference (without it 2 of 100 changes that do nothing were stopped,
-//! with baselines of 6 intervals 6);
+//!   with baselines of 6 intervals 6);
 //! - a stage looks once an interval, at each class and figure, over all intervals and over the busier half:
 //!   the chance of a false stop is shared out among all these looks (Bonferroni), and a difference below
 //!   the thresholds is none, however certain.
