A service that comes back gets its part counted out, so that the sum of a fleet keeps to the ramp

Cause: lib.rs takes_its_part drew a chance per call, and the less busy of two then favoured the cold service, which has fewer calls out: chance and favour came on top of the ramp in each server by itself. Change: each server counts its part of each call, from a random beginning, and sends one when a whole call is due, unless the service is busier than the usual choice; what is not sent then is not made up for. Ruled out: the ramp of all-cold tiers and of probes is not changed; probes still grow with the fleet (docs/shared-state.md).

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,7 +6,9 @@
 //!   to any other. Guards against the black hole: a service that fails at once is always the less busy one.
 //! - Both kinds get a probe now and then, of calls that may be repeated, one at a time: without them nobody
 //!   would learn that a service is well again, and evidence that fades would let everybody back at once.
-//! - One that comes back is taken little by little over [`Settings::ramp`].
+//! - One that comes back gets its part little by little over [`Settings::ramp`] (slow start). Guards against the
+//!   sum of what a whole fleet sends to a cold service: each server counts its part out call by call, from a
+//!   random beginning, so that the parts add up to the ramp and not to chance on top of it.
 //! - A call made again goes to another service than the last one, where there is one.
 
 use rand_chacha::ChaCha8Rng;
@@ -55,8 +57,9 @@
     outstanding: u64,
     probing: bool,
     next_probe: Nanos,
-    /// When it came back.
+    /// When it came back, and the part of a call that it is due since its last one.
     back: Option<Nanos>,
+    due: f64,
 }
 
 /// Counts, from the start.
@@ -92,12 +95,13 @@
         let out = |judged: Judged| judged.ejected || judged.bad_here;
         for (i, new) in judged.into_iter().enumerate().take(self.services.len()) {
             let draw = self.below(self.settings.probe_every) + 1;
+            let first = self.rng.next_u64() as f64 / u64::MAX as f64;
             let service = &mut self.services[i];
             if out(new) && !out(service.judged) {
                 service.next_probe = now + draw;
             }
             if !out(new) && out(service.judged) {
-                service.back = Some(now);
+                (service.back, service.due) = (Some(now), first);
             }
             service.judged = new;
         }
@@ -132,8 +136,9 @@
         if open.len() > 1 {
             open.retain(|i| wish.last != Some(*i));
         }
-        let warm: Vec<usize> = open.iter().copied().filter(|i| self.takes_its_part(now, *i)).collect();
-        let among = if warm.is_empty() { open } else { warm };
+        let parts: Vec<f64> = open.iter().map(|i| self.part(now, *i)).collect();
+        let warm: Vec<usize> = (0..open.len()).filter(|at| parts[*at] >= 1.0).map(|at| open[at]).collect();
+        let among = if warm.is_empty() { &open } else { &warm };
         if among.is_empty() {
             self.counts.nowhere += 1;
             return None;
@@ -144,7 +149,8 @@
         let second = (first + if others > 0 { 1 + self.below(others) as usize } else { 0 }) % among.len();
         let busy = |i: usize| (self.services[i].judged.bad_here, self.services[i].outstanding);
         let (a, b) = (among[first], among[second]);
-        let service = if busy(b) < busy(a) { b } else { a };
+        let usual = if busy(b) < busy(a) { b } else { a };
+        let service = if warm.is_empty() { usual } else { self.due(&open, &parts, usual) };
         self.services[service].outstanding += 1;
         self.counts.calls += 1;
         Some(Chosen { service, probe: false })
@@ -170,13 +176,29 @@
         due.min_by_key(|(_, s)| s.next_probe).map(|(i, _)| i)
     }
 
-    /// Whether a service that came back is among those drawn from, this time.
-    fn takes_its_part(&mut self, now: Nanos, i: usize) -> bool {
-        let since = match self.services[i].back {
-            Some(back) if now.saturating_sub(back) < self.settings.ramp => now.saturating_sub(back),
-            _ => return true,
-        };
-        self.below(self.settings.ramp) < since
+    /// Which part of what a warm service gets this one may have now, 1 once its ramp is over.
+    fn part(&self, now: Nanos, i: usize) -> f64 {
+        let since = self.services[i].back.map_or(Nanos::MAX, |back| now.saturating_sub(back));
+        if since < self.settings.ramp { since as f64 / self.settings.ramp as f64 } else { 1.0 }
+    }
+
+    /// Counts out what each service that came back is due of this call; the one that is due a whole call gets
+    /// it, unless it is busier than the `usual` choice. Then its call is not made up for later: a cold service
+    /// that is slow must not find a burst at its door.
+    fn due(&mut self, open: &[usize], parts: &[f64], usual: usize) -> usize {
+        for (i, part) in open.iter().zip(parts).filter(|(_, part)| **part < 1.0) {
+            let service = &mut self.services[*i];
+            service.due = (service.due + part / open.len() as f64).min(1.0);
+        }
+        let ramping = open.iter().zip(parts).filter(|(_, part)| **part < 1.0).map(|(i, _)| *i);
+        let busy = |i: usize| (self.services[i].judged.bad_here, self.services[i].outstanding);
+        let first = ramping
+            .filter(|i| self.services[*i].due >= 1.0 && busy(*i) <= busy(usual))
+            .min_by_key(|i| busy(*i));
+        if let Some(first) = first {
+            self.services[first].due = 0.0;
+        }
+        first.unwrap_or(usual)
     }
 
     fn below(&mut self, most: u64) -> u64 {
