A few servers probe a service that is out for the whole fleet, so that its size is not the sum

Cause: routing's probe() asked only whether a service is out; nobody counted who else probes. Change: judge.rs probes(): of the servers that accuse a service twice as many as must find so go on calling it, by a rank of their own in each service; one that is lost is followed by the next once its report has ended.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,7 +5,8 @@
 //! - Services that the fleet has ejected get no ordinary call, and one that this server alone finds bad loses
 //!   to any other. Guards against the black hole: a service that fails at once is always the less busy one.
 //! - Both kinds get a probe now and then, of calls that may be repeated, one at a time: without them nobody
-//!   would learn that a service is well again, and evidence that fades would let everybody back at once.
+//!   would learn that a service is well again, and evidence that fades would let everybody back at once. A few
+//!   servers probe for the whole fleet, so that its size does not make the sum.
 //! - One that comes back gets its part little by little over [`Settings::ramp`] (slow start). Guards against the
 //!   sum of what a whole fleet sends to a cold service: each server counts its part out call by call, from a
 //!   random beginning, so that the parts add up to the ramp and not to chance on top of it.
@@ -33,6 +34,8 @@
     pub ejected: bool,
     /// By this server's own calls.
     pub bad_here: bool,
+    /// This server is one of those that find out whether it is well again.
+    pub probes: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -112,12 +115,12 @@
         self.services.iter().any(|s| !s.judged.ejected) || (wish.may_probe && self.probe(now).is_some())
     }
 
-    /// When the next probe is due, where every service is ejected.
+    /// When this server's next probe is due, where every service is ejected.
     pub fn next_room(&self) -> Option<Nanos> {
         if self.services.iter().any(|s| !s.judged.ejected) {
             return None;
         }
-        self.services.iter().filter(|s| !s.probing).map(|s| s.next_probe).min()
+        self.services.iter().filter(|s| s.judged.probes && !s.probing).map(|s| s.next_probe).min()
     }
 
     /// Chooses for one call, which is out until [`Router::ended`]; `None` where every service is ejected
@@ -171,7 +174,8 @@
 
     /// The service that has waited longest for its probe, of those where one is due.
     fn probe(&self, now: Nanos) -> Option<usize> {
-        let due = |s: &Service| (s.judged.ejected || s.judged.bad_here) && !s.probing && s.next_probe <= now;
+        let out = |s: &Service| s.judged.ejected || s.judged.bad_here;
+        let due = |s: &Service| out(s) && s.judged.probes && !s.probing && s.next_probe <= now;
         let due = self.services.iter().enumerate().filter(|(_, s)| due(s));
         due.min_by_key(|(_, s)| s.next_probe).map(|(i, _)| i)
     }
--- a/crates/routing/tests/ramp.rs
+++ b/crates/routing/tests/ramp.rs
@@ -40,8 +40,9 @@
     let back = 1_000 * MS;
     let told: Vec<u64> = (0..servers).map(|_| back + below(&mut rng, 200 * MS)).collect();
     let mut knows = vec![false; servers];
-    let judged =
-        |ejected: bool| (0..SERVICES).map(move |s| Judged { ejected: ejected && s == 0, bad_here: false });
+    let judged = |ejected: bool| {
+        (0..SERVICES).map(move |s| Judged { ejected: ejected && s == 0, bad_here: false, probes: false })
+    };
     routers.iter_mut().for_each(|router| router.judged(0, judged(true)));
     let mut next: Vec<u64> = (0..servers).map(|_| below(&mut rng, 2 * EVERY)).collect();
     let mut open: BinaryHeap<Reverse<(u64, usize, usize, bool)>> = BinaryHeap::new();
@@ -121,7 +122,7 @@
     for seed in seeds {
         let mut router = Router::new(settings, seed).unwrap();
         let judged = |ejected: bool| {
-            (0..SERVICES).map(move |s| Judged { ejected: ejected && s == 0, bad_here: false })
+            (0..SERVICES).map(move |s| Judged { ejected: ejected && s == 0, bad_here: false, probes: false })
         };
         router.judged(0, judged(true));
         router.judged(0, judged(false));
--- a/crates/routing/tests/tier.rs
+++ b/crates/routing/tests/tier.rs
@@ -45,6 +45,10 @@
     /// Judgements of a server's own count for its routing.
     own_counts: bool,
     probes: bool,
+    /// Each server probes by itself, as if it were alone.
+    all_probe: bool,
+    /// Servers that neither call nor tell.
+    cut: Vec<usize>,
 }
 
 impl Fleet {
@@ -68,6 +72,8 @@
             most_ejected: 0,
             own_counts: true,
             probes: true,
+            all_probe: false,
+            cut: Vec::new(),
         }
     }
 
@@ -92,11 +98,17 @@
                     let ejected = self.judges[i].ejected(time);
                     self.most_ejected = self.most_ejected.max(ejected.len());
                     let own = |s| self.own_counts && self.judges[i].own(time, s) != Verdict::Good;
-                    let judged = (0..self.health.len())
-                        .map(|s| Judged { ejected: ejected.contains(&s), bad_here: own(s) });
+                    let judged = (0..self.health.len()).map(|s| Judged {
+                        ejected: ejected.contains(&s),
+                        bad_here: own(s),
+                        probes: self.all_probe || self.judges[i].probes(time, s),
+                    });
                     let judged: Vec<Judged> = judged.collect();
                     self.routers[i].judged(self.now, judged);
                 }
+                if self.cut.contains(&i) {
+                    continue;
+                }
                 if (self.now + i as u64 * MS).is_multiple_of(GOSSIP) {
                     let reports = self.judges[i].reports(time);
                     for _ in 0..3 {
@@ -270,7 +282,7 @@
     all.into_iter().for_each(|chosen| router.ended(chosen));
     // One service alone is asked again, ejected or not by this server's own word.
     let mut one = Router::new(Settings { services: 1, ..settings }, 9).unwrap();
-    one.judged(0, [Judged { ejected: false, bad_here: true }]);
+    one.judged(0, [Judged { ejected: false, bad_here: true, probes: true }]);
     assert_eq!(one.choose(0, Wish { last: Some(0), may_probe: false }).map(|c| c.service), Some(0));
     assert!(Router::new(Settings { services: 0, ..settings }, 1).is_err());
 }
@@ -280,7 +292,7 @@
 #[test]
 fn probes_go_one_at_a_time_and_only_with_what_may_be_repeated() {
     let mut router = Router::new(Settings { services: 1, probe_every: S, ramp: S }, 1).unwrap();
-    router.judged(0, [Judged { ejected: true, bad_here: true }]);
+    router.judged(0, [Judged { ejected: true, bad_here: true, probes: true }]);
     let (may, not) = (Wish { last: None, may_probe: true }, Wish::default());
     let due = router.next_room().unwrap();
     assert!((1..=S).contains(&due) && !router.has_room(due - 1, may) && router.has_room(due, may));
@@ -292,3 +304,57 @@
     router.judged(due + 6 * S, [Judged::default()]);
     assert!(router.has_room(due + 6 * S, not) && router.next_room().is_none());
 }
+
+/// A service that is out, or just started and cold, stands the probes of a few servers and not those of all:
+/// their sum is the same for a large fleet, and beyond it only 2 * root of N + 2 are chance.
+#[test]
+fn the_sum_of_probes_does_not_grow_with_the_fleet() {
+    let most = |servers: usize, all_probe: bool| {
+        let mut fleet = Fleet::new(servers, 20, 300, 3, 11);
+        fleet.all_probe = all_probe;
+        fleet.play(2 * S);
+        fleet.health[4] = Health::Failing;
+        fleet.until(4, true, 10 * S).expect("out");
+        let mut most = 0;
+        for second in 0..20 {
+            fleet.calls.fill(0);
+            fleet.play(S);
+            // What was under way as it went out, and servers that take over from each other, come first.
+            most = if second < 4 { 0 } else { most.max(fleet.calls[4]) };
+        }
+        assert!((0..servers).all(|i| fleet.ejects(i, 4)), "it stays out");
+        most as f64
+    };
+    // Two for each report wanted, eight times in the time that a report counts.
+    let n = 2.0 * 3.0 * 8.0 * S as f64 / EXPIRY as f64;
+    for servers in [20, 30, 100] {
+        let got = most(servers, false);
+        println!("{servers} servers: {got} probes in a second at most, {n} are meant");
+        assert!(got <= n + 2.0 * n.sqrt() + 2.0, "{servers} servers: {got}");
+        assert!(got > 0.0);
+    }
+    let all = most(30, true);
+    println!("30 servers that each probe by themselves: {all}");
+    assert!(all > n + 2.0 * n.sqrt() + 2.0, "{all}");
+}
+
+#[test]
+fn where_those_that_probe_are_lost_others_do() {
+    let mut fleet = Fleet::new(30, 8, 500, 2, 3);
+    fleet.play(2 * S);
+    fleet.health[1] = Health::Failing;
+    fleet.until(1, true, 5 * S).expect("out");
+    fleet.play(6 * S);
+    let time = Time::both(fleet.now);
+    let probe: Vec<usize> = (0..30).filter(|i| fleet.judges[*i].probes(time, 1)).collect();
+    assert!((1..=6).contains(&probe.len()), "{probe:?}");
+    // Cut from the rest: they call nobody and are not heard.
+    fleet.cut = probe;
+    fleet.health[1] = Health::Well;
+    let back = fleet.now;
+    while (0..30).any(|i| !fleet.cut.contains(&i) && fleet.ejects(i, 1)) {
+        assert!(fleet.now - back < 10 * S, "never back");
+        fleet.play(20 * MS);
+    }
+    println!("back {:.2} s after those that probed were lost", (fleet.now - back) as f64 / S as f64);
+}
--- a/crates/server/src/memory/tier.rs
+++ b/crates/server/src/memory/tier.rs
@@ -52,6 +52,7 @@
         let of = |service| Judged {
             ejected: ejected.contains(&service),
             bad_here: judge.own(time, service) != Verdict::Good,
+            probes: judge.probes(time, service),
         };
         let judged: Vec<Judged> = (0..self.addresses.len()).map(of).collect();
         self.router.judged(now, judged);
--- a/crates/shared-state/src/judge.rs
+++ b/crates/shared-state/src/judge.rs
@@ -96,6 +96,15 @@
     pub refused: u64,
 }
 
+/// Servers that probe a service, for each that must find badly of it: one may be lost or slow.
+const PROBERS: usize = 2;
+
+/// The same on all servers and builds: FNV-1a of service and name.
+fn rank(service: usize, name: &str) -> u64 {
+    let bytes = (service as u32).to_le_bytes().into_iter().chain(name.bytes());
+    bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
 /// Reporters remembered for each service.
 const REPORTERS_MAX: usize = 1024;
 
@@ -210,10 +219,29 @@
 
     /// Servers that find so badly of a service, this one included.
     pub fn accusers(&self, time: Time, service: usize) -> usize {
+        self.other_accusers(time, service).count() + usize::from(self.accuses(time, service))
+    }
+
+    fn accuses(&self, time: Time, service: usize) -> bool {
+        self.own(time, service) != Verdict::Good
+    }
+
+    fn other_accusers(&self, time: Time, service: usize) -> impl Iterator<Item = &str> {
         let from = (service as u32, String::new());
-        let theirs = self.heard.range(from..).take_while(|((s, _), _)| *s == service as u32);
-        let bad = theirs.filter(|(_, (_, verdict, until))| *verdict != Verdict::Good && time.fast < *until);
-        bad.count() + usize::from(self.own(time, service) != Verdict::Good)
+        let theirs = self.heard.range(from..).take_while(move |((s, _), _)| *s == service as u32);
+        let bad =
+            theirs.filter(move |(_, (_, verdict, until))| *verdict != Verdict::Good && time.fast < *until);
+        bad.map(|((_, name), _)| name.as_str())
+    }
+
+    /// Whether this server is one of the few that go on calling a service that is out, for all others too:
+    /// of those that accuse it twice as many as must find so, by a rank of their own in each service. Guards
+    /// against the sum of a large fleet's probes, which is more than a cold service stands; where one of them
+    /// is lost the next takes its place once the report of the lost one has ended.
+    pub fn probes(&self, time: Time, service: usize) -> bool {
+        let mine = rank(service, &self.me.name);
+        let before = self.other_accusers(time, service).filter(|name| rank(service, name) < mine);
+        self.accuses(time, service) && before.count() < PROBERS * self.settings.reports
     }
 
     /// Services ejected now, by number: those most accused first, within the share. A server that hears
