A file that a reload reads waits for a descriptor's place: tests

Test: memory/descriptors/tests.rs, with every place taken it waits and takes none, with one given back it goes on, and call connections at rest make room.

--- a/crates/server/src/memory/descriptors.rs
+++ b/crates/server/src/memory/descriptors.rs
@@ -83,3 +83,6 @@
         self.held.connections.set(self.held.connections.get() - self.connections);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/server/src/memory/descriptors/tests.rs
@@ -0,0 +1,50 @@
+//! Who gets a place when few are left.
+
+use super::*;
+use futures_lite::future::{block_on, or};
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+async fn within(limit: Duration, what: impl Future<Output = Place>) -> Option<Place> {
+    let late = async {
+        Timer::after(limit).await;
+        None
+    };
+    or(async { Some(what.await) }, late).await
+}
+
+/// Places for eight, whatever the process that tests holds open.
+fn eight() -> Descriptors {
+    let open = std::fs::read_dir("/proc/self/fd").unwrap().count() - 1;
+    let descriptors = Descriptors::within(open + 64).unwrap();
+    Descriptors { places: 8, ..descriptors }
+}
+
+#[test]
+fn a_file_waits_for_a_place_and_takes_none_that_is_not_there() {
+    let (descriptors, pool) = (eight(), Pool::default());
+    let mut held: Vec<Place> = std::iter::from_fn(|| descriptors.for_connection()).collect();
+    held.extend(std::iter::from_fn(|| descriptors.for_call()));
+    let all = descriptors.held.all.get();
+    assert!(block_on(within(20 * LOOK, descriptors.for_file(&pool))).is_none(), "{all} of 8 in use");
+    assert_eq!(descriptors.held.all.get(), all);
+    drop(held.pop());
+    let place = block_on(within(20 * LOOK, descriptors.for_file(&pool)));
+    assert!(place.is_some());
+    assert_eq!(descriptors.held.all.get(), all);
+}
+
+#[test]
+fn call_connections_at_rest_make_room_for_a_file() {
+    let (descriptors, pool) = (eight(), Pool::default());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let to = listener.local_addr().unwrap();
+    let mut rest = Vec::new();
+    while descriptors.for_call().is_some() {
+        rest.push(block_on(pool.take(to, true, &descriptors)).unwrap());
+    }
+    assert!(block_on(within(20 * LOOK, descriptors.for_file(&pool))).is_none());
+    rest.into_iter().for_each(|pooled| pool.give_back(pooled));
+    assert!(block_on(within(20 * LOOK, descriptors.for_file(&pool))).is_some());
+    let _: Vec<TcpStream> = listener.incoming().take(1).map_while(Result::ok).collect();
+}
