--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,11 +5,11 @@
 //! - Services that the fleet has ejected get no ordinary call, and one that this server alone finds bad loses
 //!   to any other. Guards against the black hole: a service that fails at once is always the less busy one.
 //! - Both kinds get a probe now and then, of calls that may be repeated, one at a time: without them nobody
-//!   would learn that a service is well again, and evidence that fades would let everybody back at once. A few
-//!   servers probe for the whole fleet, so that its size does not make the sum.
-//! - One that comes back gets its part little by little over [`Settings::ramp`] (slow start). Guards against the
-//!   sum of what a whole fleet sends to a cold service: each server counts its part out call by call, from a
-//!   random beginning, so that the parts add up to the ramp and not to chance on top of it.
+//!   would learn that a service is well again, and evidence that fades would let everybody back at once. A
+//!   few servers probe for the whole fleet, so that its size does not make the sum.
+//! - One that comes back gets its part little by little over [`Settings::ramp`] (slow start). Guards against
+//!   the sum of what a whole fleet sends to a cold service: each server counts its part out call by call,
+//!   from a random beginning, so that the parts add up to the ramp and not to chance on top of it.
 //! - A call made again goes to another service than the last one, where there is one.
 
 use rand_chacha::ChaCha8Rng;
@@ -187,8 +187,8 @@
     }
 
     /// Counts out what each service that came back is due of this call; the one that is due a whole call gets
-    /// it, unless it is busier than the `usual` choice. Then its call is not made up for later: a cold service
-    /// that is slow must not find a burst at its door.
+    /// it, unless it is busier than the `usual` choice. Then its call is not made up for later: a cold
+    /// service that is slow must not find a burst at its door.
     fn due(&mut self, open: &[usize], parts: &[f64], usual: usize) -> usize {
         for (i, part) in open.iter().zip(parts).filter(|(_, part)| **part < 1.0) {
             let service = &mut self.services[*i];
--- a/crates/routing/tests/ramp.rs
+++ b/crates/routing/tests/ramp.rs
@@ -1,7 +1,7 @@
-//! What a whole fleet sends to a service that has come back, in simulated time. Each server knows its own calls
-//! alone, yet it is their sum under which the service may fall: beyond its budget of N calls in a while only
-//! 2 * root of N + 2 are put down to chance.
-//! `cargo test -p meadowstream-routing --test ramp -- --nocapture` prints the worst of all plays.
+//! What a whole fleet sends to a service that has come back, in simulated time. Each server knows its own
+//! calls alone, yet it is their sum under which the service may fall: beyond its budget of N calls in a while
+//! only 2 * root of N + 2 are put down to chance. `cargo test -p meadowstream-routing --test ramp --
+//! --nocapture` prints the worst of all plays.
 
 use meadowstream_routing::{Chosen, Judged, Router, Settings, Wish};
 use rand_chacha::ChaCha8Rng;
--- a/crates/server/src/lifecycle/tasks/link.rs
+++ b/crates/server/src/lifecycle/tasks/link.rs
@@ -20,17 +20,17 @@
 /// Before the next try, twice as long each time up to the longest.
 const PAUSE: Duration = Duration::from_millis(5);
 const PAUSE_MAX: Duration = Duration::from_millis(160);
-/// A restarted server is to be ready within 10 s whatever its interpreter does: a tenth of it is for the first
-/// dial and a fifth for the first banner, and each time that was too short twice as long, so that one that
-/// always takes that long is linked to in the end. Guards against peers that accept and say nothing, and
+/// A restarted server is to be ready within 10 s whatever its interpreter does: a tenth of it is for the
+/// first dial and a fifth for the first banner, and each time that was too short twice as long, so that one
+/// that always takes that long is linked to in the end. Guards against peers that accept and say nothing, and
 /// packets that are lost; dialling anew costs nothing where the interpreter only starts late: a new link
 /// replaces the one before, and the banner comes on it.
 const READY_WITHIN: Duration = Duration::from_secs(10);
 const DIAL: u32 = 10;
 const BANNER: u32 = 5;
 /// The module asks for gauges each period, so that a link on which nothing comes for four of them has gone
-/// silent. Guards against a peer that died without a word; harms an interpreter that stands still for as long:
-/// it finds another link when it goes on.
+/// silent. Guards against a peer that died without a word; harms an interpreter that stands still for as
+/// long: it finds another link when it goes on.
 const SILENT: Duration = Duration::from_nanos(4 * PERIOD);
 /// Two banners say the start of one interpreter in whole milliseconds, by clocks that may drift apart.
 const SAME_START: Nanos = 1_000_000_000;
--- a/crates/server/tests/fleet_cold.rs
+++ b/crates/server/tests/fleet_cold.rs
@@ -1,5 +1,6 @@
-//! Twenty processes of the program over a tier of five services, one of which fails and comes back cold: what it
-//! gets is counted there, from all of them together. Loopback only, bounded, every process ended by its id.
+//! Twenty processes of the program over a tier of five services, one of which fails and comes back cold: what
+//! it gets is counted there, from all of them together. Loopback only, bounded, every process ended by its
+//! id.
 
 use meadowstream_stand_ins::fleet::{Extra, Stage, wait};
 use meadowstream_stand_ins::{load, parties};
--- a/crates/server/tests/stand_ins.rs
+++ b/crates/server/tests/stand_ins.rs
@@ -13,16 +13,16 @@
 //!   `ends A`, `ends-cleanly A` (not by a reset); FIELDS may say NOW, or LATE for a clock two seconds behind;
 //!   `open A tiny` with hardly any room for what it hears, `rubbish A BYTES` without waiting for a reader;
 //!   `flood A N` sends N checks without reading, `drink A N` reads as many answers.
-//! - `link INDEX` (takes a link that must have read that far), `banner warm|cold [AGE_MS]`, `told VERB TAG [BODY]`,
-//!   `any-told VERB` whatever its task,
-//!   `half-a-banner`, `vm full` and `vm takes` (nobody accepts there for a while), `dials anew`,
-//!   `notice JSON` (TAG written `#7` becomes its reference, `=text=` base64), `gauges on|off`, `unlink`.
+//! - `link INDEX` (takes a link that must have read that far), `banner warm|cold [AGE_MS]`, `told VERB TAG
+//!   [BODY]`, `any-told VERB` whatever its task, `half-a-banner`, `vm full` and `vm takes` (nobody accepts
+//!   there for a while), `dials anew`, `notice JSON` (TAG written `#7` becomes its reference, `=text=`
+//!   base64), `gauges on|off`, `unlink`.
 //! - `called TAG BODY`, `reply STATUS BODY [HEADER]`, `hang up` (on the call), `given up` (by the server),
 //!   `no records` (connections there are refused), `records full` (nobody accepts them), `no catalog`.
 //! - `moves` (all but the balancers stand elsewhere now, and the server is told), `rewrite` (the file is as
 //!   configured, and the server is told), `half-rewrite` (half of the file is there when it is told).
-//! - `descriptors N` (before the start), `holds-at-most N`; `counts COUNTER LEAST`, `counted COUNTER EXACTLY`; `reported WORDS`;
-//!   `repeat N STEP` with `%` for the number.
+//! - `descriptors N` (before the start), `holds-at-most N`; `counts COUNTER LEAST`, `counted COUNTER
+//!   EXACTLY`; `reported WORDS`; `repeat N STEP` with `%` for the number.
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use rustix::net::{self, AddressFamily, SocketType, sockopt};
