A machine that stood still keeps its link: silent periods are counted one by one

Cause: link.rs, one timer of 2 s of silence was over at once after the pause, though nothing had been asked in that time. Change: four periods counted one after the other; a pause is over in one of them, and the next asks for gauges.

--- a/crates/server/src/lifecycle/tasks/link.rs
+++ b/crates/server/src/lifecycle/tasks/link.rs
@@ -31,7 +31,7 @@
 /// The module asks for gauges each period, so that a link on which nothing comes for four of them has gone
 /// silent. Guards against a peer that died without a word; harms an interpreter that stands still for as
 /// long: it finds another link when it goes on.
-const SILENT: Duration = Duration::from_nanos(4 * PERIOD);
+const SILENT: usize = 4;
 /// Two banners say the start of one interpreter in whole milliseconds, by clocks that may drift apart.
 const SAME_START: Nanos = 1_000_000_000;
 
@@ -97,6 +97,18 @@
     future::or(what, late).await
 }
 
+/// Waits for bytes, until so many periods have brought none. They are counted one by one: a machine that
+/// stood still finds them all over at once, though nothing was asked in them.
+async fn hear(stream: &Async<TcpStream>, ring: &mut Ring) -> Result<()> {
+    for _ in 0..SILENT {
+        match within(Duration::from_nanos(PERIOD), receive(stream, ring)).await {
+            Err(error) if is_timeout(&error) => {}
+            heard => return heard,
+        }
+    }
+    Err(ErrorKind::TimedOut.into())
+}
+
 async fn session(server: &Server, seen: &mut Seen, linked: &mut bool) -> Result<()> {
     let address = server.configuration.addresses.get().interpreter;
     let stream = within(seen.patience(DIAL), Async::<TcpStream>::connect(address)).await?;
@@ -107,8 +119,11 @@
     let reads = async {
         let (mut ring, mut skips) = (Ring::new(2 * interpreter::LINE_MAX), false);
         loop {
-            let patience = if *linked { SILENT } else { seen.patience(BANNER) };
-            within(patience, receive(&stream, &mut ring)).await?;
+            if *linked {
+                hear(&stream, &mut ring).await?;
+            } else {
+                within(seen.patience(BANNER), receive(&stream, &mut ring)).await?;
+            }
             while let Some((input, used)) = next(server, ring.front(), &mut skips, &mut seen.last_read) {
                 ring.drop_front(used);
                 let input = match input {
--- a/crates/server/tests/server.rs
+++ b/crates/server/tests/server.rs
@@ -60,6 +60,7 @@
 #[test_case("close_over_unread")]
 #[test_case("descriptors_gone_discovery_down")]
 #[test_case("signals_cross")]
+#[test_case("call_as_idle_ends")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
