--- /dev/null
+++ b/crates/simhost/src/codec/tests.rs
@@ -0,0 +1,55 @@
+//! Frames in and out.
+
+use super::*;
+
+fn batch(count: u32, len: u32, body: &[u8]) -> Vec<u8> {
+    [&count.to_le_bytes(), &len.to_le_bytes(), &7u64.to_le_bytes()[..], body].concat()
+}
+
+#[test]
+fn reads_a_record_and_its_tail() {
+    let mut body = vec![0; EVENT];
+    body[0] = 30;
+    body[1..9].copy_from_slice(&42u64.to_le_bytes());
+    body[9..11].copy_from_slice(&254u16.to_le_bytes());
+    body[11..15].copy_from_slice(&3u32.to_le_bytes());
+    body[15..19].copy_from_slice(&2u32.to_le_bytes());
+    body.extend_from_slice(b"abcdef");
+    let mut read = Batch::default();
+    assert!(read.read(&mut batch(1, 78, &body).as_slice()).unwrap());
+    let event = read.event(0);
+    assert_eq!((read.clock, event.u8(0), event.u64(1), event.span(11)), (7_000, 30, 42, 3_000));
+    assert_eq!(event.ending(9).unwrap(), Ending::NeverRan);
+    assert_eq!(event.text(11).unwrap(), "de");
+    assert!(!read.read(&mut [].as_slice()).unwrap());
+}
+
+#[test]
+fn rejects_what_is_malformed() {
+    let mut read = Batch::default();
+    for frame in [batch(1, 16, &[]), batch(1, 72, &[0; 20]), batch(0, 8, &[]), vec![0; 5]] {
+        assert!(read.read(&mut frame.as_slice()).is_err(), "{frame:?}");
+    }
+    let mut body = vec![0; EVENT];
+    body[1..5].copy_from_slice(&9u32.to_le_bytes());
+    body[5..9].copy_from_slice(&u32::MAX.to_le_bytes());
+    body[9..11].copy_from_slice(&77u16.to_le_bytes());
+    body[11..15].copy_from_slice(&f32::NAN.to_le_bytes());
+    assert!(read.read(&mut batch(1, 72, &body).as_slice()).unwrap());
+    assert!(read.event(0).text(1).is_err());
+    assert!(read.event(0).ending(9).is_err());
+    assert!(read.event(0).number(11).is_err());
+}
+
+#[test]
+fn replies_name_the_speaker_once_and_round_times_up() {
+    let (mut reply, mut frame) = (Reply::default(), Vec::new());
+    reply.speaks(5);
+    reply.throttle(9, true, 1_001);
+    reply.log("hi");
+    reply.finish(&mut frame);
+    assert_eq!(frame[..8], [58, 0, 0, 0, 3, 0, 0, 0]);
+    assert_eq!(frame[8..11], [90, 5, 0]);
+    assert_eq!(frame[24..38], [40, 9, 0, 0, 0, 0, 0, 0, 0, 1, 2, 0, 0, 0]);
+    assert_eq!(frame[56..], *b"hi");
+}
