Reading the settings is linear, and a change of them is read beside the serving thread

Cause: options lib.rs, text_pos_at for each child element, which counts lines from the start of the file, and a search through all names for one given twice. Configuration::reload read it on the one thread that serves, so a change stopped the server for as long.

Change: the line is found only for a fault; names are compared by a set; a tenant beyond what the accounts allow is refused at its own line. A reload is its own module (lifecycle/reload.rs): files are read, checked and compared with what is in force on the blocking pool, one change at a time, and signals that come while one waits are one with it. A change that came before the first link was lost to the module; it is in force from its start now.

--- a/crates/fair/src/index.rs
+++ b/crates/fair/src/index.rs
@@ -147,14 +147,13 @@
         }
     }
 
-    /// Named ones are named no more.
-    pub fn unpin(&mut self, weight: f64, now: Nanos) {
-        for at in 0..self.kept.len() as u32 {
-            let kept = &mut self.kept[at as usize];
-            if std::mem::take(&mut kept.account.named) {
-                (kept.account.weight, kept.used) = (weight, now);
-                self.link_first(at);
-            }
+    /// One that was named is named no more; others stay as they are.
+    pub fn unpin(&mut self, print: Print, weight: f64, now: Nanos) {
+        let Some(at) = self.places.get(&print).copied() else { return };
+        let kept = &mut self.kept[at as usize];
+        if std::mem::take(&mut kept.account.named) {
+            (kept.account.weight, kept.used) = (weight, now);
+            self.link_first(at);
         }
     }
 
--- a/crates/fair/src/lib.rs
+++ b/crates/fair/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod ledger;
 pub mod level;
 pub mod origins;
+mod retune;
 pub mod sketch;
 pub mod wheel;
 
@@ -29,12 +30,17 @@
 use ledger::{Ledger, Return};
 use level::{Level, Ratio};
 use origins::Origins;
+pub use retune::Retune;
 use siphasher::sip128::{Hasher128, SipHasher13};
 use sketch::Sketch;
 use std::hash::Hasher;
+use std::sync::Arc;
 
 pub type Nanos = u64;
 
+/// A tenant's name as it stands in calls, and its weight (above 0, a ratio).
+pub type NamedTenant = (Vec<u8>, f64);
+
 /// What each part may hold; all memory is taken by it and by nothing that peers choose.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -51,7 +57,7 @@
     /// Weight of a tenant that is not named.
     pub weight: f64,
     /// Named tenants and their weights; they have accounts from the start.
-    pub named: Vec<(Vec<u8>, f64)>,
+    pub named: Arc<[NamedTenant]>,
     /// So much of its share, in time, may a tenant use at once.
     pub at_once: Nanos,
     /// A name counts as known once it has been seen several times over so long.
@@ -61,6 +67,9 @@
     pub late: Nanos,
 }
 
+/// Accounts that are never given to named tenants.
+const UNNAMED_ACCOUNTS: usize = 16;
+
 impl Default for Settings {
     fn default() -> Self {
         const SECOND: Nanos = 1_000_000_000;
@@ -71,7 +80,7 @@
             promises: 16_384,
             names: 1024.0,
             weight: 1.0,
-            named: Vec::new(),
+            named: Arc::default(),
             at_once: 15 * SECOND,
             probation: 2 * SECOND,
             longest: SECOND,
@@ -93,7 +102,7 @@
         let default = weight(self.weight).then(|| format!("{} is no weight", self.weight));
         let names =
             (!self.names.is_finite() || self.names < 1.0).then(|| format!("{} is under 1", self.names));
-        let room = 2 * self.named.len() + 16;
+        let room = 2 * self.named.len() + UNNAMED_ACCOUNTS;
         [
             ("default", default),
             ("names", names),
@@ -106,6 +115,11 @@
         .find_map(|(what, why)| Some((what, why?)))
     }
 
+    /// How many tenants may be named: half of the accounts stay for those that are not.
+    pub fn named_most(&self) -> usize {
+        self.accounts.saturating_sub(UNNAMED_ACCOUNTS) / 2
+    }
+
     /// All bytes that a [`Fair`] of these settings may ever hold.
     pub fn ceiling(&self) -> usize {
         Index::ceiling(self.accounts)
@@ -240,10 +254,10 @@
             counts: Counts::default(),
             settings,
         };
-        for (name, weight) in fair.settings.named.clone() {
-            let print = fair.print(&name);
-            let account = Account::new(&name, weight, 0.0, now);
-            fair.index.pin(print, account);
+        // Named tenants live in the index from here on; the list stays with whoever read it.
+        for (name, weight) in std::mem::take(&mut fair.settings.named).iter() {
+            let print = fair.print(name);
+            fair.index.pin(print, Account::new(name, *weight, 0.0, now));
         }
         fair
     }
@@ -489,17 +503,21 @@
         }
     }
 
-    /// Takes new weights over, and how much may be used at once; ceilings stay as they are until a restart.
-    pub fn retune(&mut self, new: &Settings, now: Nanos) {
+    /// Takes one part of a change over; ceilings stay as they are until a restart. The time it takes grows
+    /// with the names in the part alone.
+    pub fn retune(&mut self, change: &Retune, now: Nanos) {
         let now = self.pass(now);
-        self.index.unpin(self.settings.weight, now);
-        for (name, weight) in &new.named {
+        for name in &change.unnamed {
+            let print = self.print(name);
+            self.index.unpin(print, self.settings.weight, now);
+        }
+        for (name, weight) in &change.named {
             let print = self.print(name);
             self.index.pin(print, Account::new(name, *weight, self.level.fair_time(), now));
         }
-        self.origins.set_names(new.names);
-        let Settings { names, weight, named, at_once, probation, .. } = new.clone();
-        self.settings = Settings { names, weight, named, at_once, probation, ..self.settings.clone() };
+        let Retune { names, weight, at_once, probation, .. } = *change;
+        self.origins.set_names(names);
+        self.settings = Settings { names, weight, at_once, probation, ..self.settings.clone() };
     }
 
     /// Once a control period: the level is found anew for what all ask for of late. `capacity` is the work
--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -807,9 +807,9 @@
         (advice.ticket.is_some(), advice.stay_away)
     }
 
-    /// Takes over new weights of tenants and how much they may use at once.
-    pub fn retune(&mut self, now: Nanos, settings: &meadowstream_fair::Settings) {
-        self.fair.iter_mut().for_each(|fair| fair.retune(settings, now));
+    /// Takes over a part of a change: new weights of tenants, and how much they may use at once.
+    pub fn retune(&mut self, now: Nanos, change: &meadowstream_fair::Retune) {
+        self.fair.iter_mut().for_each(|fair| fair.retune(change, now));
     }
 
     /// The busy share of the cores to steer to, from now on.
--- a/crates/options/src/lib.rs
+++ b/crates/options/src/lib.rs
@@ -3,10 +3,11 @@
 //! Every fault is named with its line and element. Times are given in milliseconds.
 
 use anyhow::{Context, Result, anyhow, bail, ensure};
-use meadowstream_fair::Settings;
+use meadowstream_fair::{NamedTenant, Settings};
 use meadowstream_rollout::plan::{OnWorse, Plan, Size, Stage, Thresholds};
 use meadowstream_rollout::wire::Kind;
 use roxmltree::{Document, Node, ParsingOptions};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
@@ -176,11 +177,13 @@
             if !child.is_element() {
                 continue;
             }
-            let (name, line) = (child.tag_name().name(), self.document.text_pos_at(child.range().start).row);
+            let name = child.tag_name().name();
+            // The line is counted from the start of the file, so only where a fault needs it.
+            let at = || Self { node: child, document: self.document }.at();
             let ours = child.tag_name().namespace() == Some(NAMESPACE);
-            ensure!(ours && known.contains(&name), "line {line}, <{name}>: unknown element");
-            let twice = found.iter().any(|other| other.tag_name().name() == name);
-            ensure!(many.contains(&name) || !twice, "line {line}, <{name}>: given twice");
+            ensure!(ours && known.contains(&name), "{}: unknown element", at());
+            let twice = || found.iter().any(|other| other.tag_name().name() == name);
+            ensure!(many.contains(&name) || !twice(), "{}: given twice", at());
             found.push(child);
         }
         Ok(found)
@@ -454,21 +457,16 @@
     };
     let mut fair =
         Settings { weight: element.number("default-weight", 1.0, 1e-3, 1e3)?, ..Settings::default() };
-    for child in element.children(&["ceilings", "share", "tenant"], &["tenant"])? {
+    let children = element.children(&["ceilings", "share", "tenant"], &["tenant"])?;
+    let (named, limits): (Vec<_>, Vec<_>) =
+        children.into_iter().partition(|child| child.tag_name().name() == "tenant");
+    for child in limits {
         match child.tag_name().name() {
             "ceilings" => ceilings(&Element::new(document, child, CEILINGS)?, &mut fair)?,
-            "share" => share(&Element::new(document, child, SHARE)?, &mut fair)?,
-            _ => {
-                let named = Element::new(document, child, &["name", "weight"])?;
-                let name = named.text("name").with_context(|| format!("{}: name is missing", named.at()))?;
-                ensure!(name.len() <= NAME_MAX, "{}: name: over {NAME_MAX} bytes", named.at());
-                let weight = named.number("weight", fair.weight, 1e-3, 1e3)?;
-                let twice = fair.named.iter().any(|(other, _)| other == name.as_bytes());
-                ensure!(!twice, "{}: name: {name:?} is given twice", named.at());
-                fair.named.push((name.as_bytes().to_vec(), weight));
-            }
+            _ => share(&Element::new(document, child, SHARE)?, &mut fair)?,
         }
     }
+    fair.named = named_tenants(document, named, &fair)?.into();
     if let Some((what, why)) = fair.fault() {
         bail!("{}: {what}: {why}", element.at());
     }
@@ -477,6 +475,31 @@
     Ok(Tenants { by, origin, surplus_value, shown, fair })
 }
 
+/// The `<tenant>` elements in the order of the file, each name once, as many as `<ceilings accounts>` allows.
+fn named_tenants<'d>(
+    document: &Document<'d>,
+    elements: Vec<Node<'_, 'd>>,
+    fair: &Settings,
+) -> Result<Vec<NamedTenant>> {
+    let (most, count) = (fair.named_most(), elements.len());
+    let mut named = Vec::with_capacity(elements.len());
+    let mut names = HashSet::with_capacity(elements.len());
+    for child in elements {
+        let tenant = Element::new(document, child, &["name", "weight"])?;
+        let name = tenant.text("name").with_context(|| format!("{}: name is missing", tenant.at()))?;
+        ensure!(name.len() <= NAME_MAX, "{}: name: over {NAME_MAX} bytes", tenant.at());
+        let weight = tenant.number("weight", fair.weight, 1e-3, 1e3)?;
+        ensure!(names.insert(name), "{}: name: {name:?} is given twice", tenant.at());
+        if named.len() == most {
+            let wanted = Settings { named: vec![(Vec::new(), 1.0); count].into(), ..fair.clone() };
+            let (what, why) = wanted.fault().unwrap_or_default();
+            bail!("{}: {what}: {why} for {count} named tenants; {most} may be named", tenant.at());
+        }
+        named.push((name.as_bytes().to_vec(), weight));
+    }
+    Ok(named)
+}
+
 const CEILINGS: &[&str] = &["accounts", "cells", "origins", "promises", "names-per-origin"];
 const SHARE: &[&str] = &["at-once-ms", "probation-ms", "late-ms"];
 
--- a/crates/options/tests/options.rs
+++ b/crates/options/tests/options.rs
@@ -231,3 +231,26 @@
         assert!(fault.contains(place) && !fault.contains('\n'), "{fault}");
     }
 }
+
+/// The issue of capacity: reading took 36 to 42 s for 64,000 tenants, since the line of each was counted from
+/// the start of the file and each name compared with all before it. A debug build takes under 2 s now.
+#[test]
+fn reads_many_thousand_tenants_in_time_that_grows_with_the_file() {
+    let began = std::time::Instant::now();
+    let tenants = Options::read(&many_tenants(64_000)).unwrap().tenants.unwrap();
+    assert_eq!(tenants.fair.named.len(), 64_000);
+    assert!(began.elapsed() < std::time::Duration::from_secs(10), "{:?}", began.elapsed());
+}
+
+#[test]
+fn one_tenant_more_than_the_accounts_allow_is_refused_with_its_place() {
+    let error = format!("{:#}", Options::read(&many_tenants(64_001)).unwrap_err());
+    // The root, <tenants> and <ceilings> have the first three lines.
+    assert!(error.starts_with("line 64004, <tenant>: accounts: 128016 is under 128018"), "{error}");
+}
+
+/// With room for 64,000 named ones.
+fn many_tenants(count: usize) -> String {
+    let tenants: String = (0..count).map(|n| format!("<tenant name=\"tenant-{n}\"/>\n")).collect();
+    file(&format!("<tenants by=\"peer\">\n<ceilings accounts=\"128016\"/>\n{tenants}</tenants>"))
+}
--- a/crates/server/src/lifecycle/configuration.rs
+++ b/crates/server/src/lifecycle/configuration.rs
@@ -15,6 +15,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 /// What is remembered of tokened calls takes this part of the memory at most, like what connections hold.
 const TOKENS_PART: usize = 4;
@@ -53,7 +54,7 @@
     /// What is done in a way that nobody has said, for the log.
     pub notes: Vec<String>,
     /// This project's own settings and the file they stand in, where there is one.
-    pub options: RefCell<Options>,
+    pub options: RefCell<Arc<Options>>,
     pub options_path: Option<PathBuf>,
     /// Busy share of the cores to steer to; a reload may change it.
     pub reference: Cell<f64>,
@@ -251,95 +252,13 @@
                 fleet.tier = tier.iter().flat_map(|t| &t.services).map(|(_, address)| *address).collect();
                 read.membership = Some(fleet);
             }
-            (read.options, read.options_path) = (RefCell::new(options), Some(path.to_path_buf()));
+            (read.options, read.options_path) = (RefCell::new(Arc::new(options)), Some(path.to_path_buf()));
         }
         read.settle_what_the_wire_leaves_open()?;
         read.refuse_mixed_shapes()?;
         Ok(read)
     }
 
-    /// Reads the file once more and takes its addresses over; where it cannot be served all stays as it is.
-    pub fn reload(&self) -> Result<()> {
-        let candidate = self.candidate.borrow().clone();
-        let adopted = candidate.as_ref().and_then(|candidate| Some((candidate, candidate.adopted?)));
-        match adopted {
-            None => self.take_over(None),
-            Some((candidate, hash)) => self.take_over_change(candidate, hash),
-        }
-    }
-
-    /// Goes by the settings of a change, known by their hash, or by its own again; `Err` leaves all as it is.
-    pub fn adopt(&self, change: Option<u64>) -> Result<()> {
-        let candidate = self.candidate.borrow().clone().context("<rollout> is not in the options")?;
-        match change {
-            None => self.take_over(None)?,
-            Some(hash) => self.take_over_change(&candidate, hash)?,
-        }
-        *self.candidate.borrow_mut() = Some(Candidate { adopted: change, ..candidate });
-        Ok(())
-    }
-
-    fn take_over_change(&self, candidate: &Candidate, hash: u64) -> Result<()> {
-        let shown = candidate.path.display();
-        let bytes = std::fs::read(&candidate.path).with_context(|| format!("cannot read {shown}"))?;
-        let found = hash_of(&bytes);
-        ensure!(found == hash, "{shown} has the hash {found:016x}, not {hash:016x}");
-        self.take_over(Some(&candidate.path))
-    }
-
-    fn take_over(&self, change: Option<&Path>) -> Result<()> {
-        let new = Self::load(&self.path, self.options_path.as_deref(), change)?;
-        ensure!(
-            (&new.name, new.listen) == (&self.name, self.listen),
-            "name, listen: another takes a restart"
-        );
-        let before = self.addresses.get().records.is_some();
-        ensure!(
-            before == new.addresses.get().records.is_some(),
-            "records: a call more or less takes a restart"
-        );
-        self.refuse_what_takes_a_restart(&new.options.borrow())?;
-        let same = {
-            let (before, after) = (self.options.borrow(), new.options.borrow());
-            (&before.tokens, &before.left_out, &before.rollout)
-                == (&after.tokens, &after.left_out, &after.rollout)
-        };
-        ensure!(same, "options: <tokens>, <calls>, <rollout>: others take a restart");
-        let fleet = |c: &Configuration| {
-            c.membership.as_ref().map(|f| (f.bind, f.advertise, f.name.clone(), f.seeds.clone()))
-        };
-        let same = fleet(self) == fleet(&new)
-            && self.membership.as_ref().map(|f| &f.settings) == new.membership.as_ref().map(|f| &f.settings);
-        ensure!(same, "options: <membership>: another takes a restart");
-        let plans = |c: &Configuration| {
-            let shared = c.membership.as_ref().and_then(|fleet| fleet.shared.as_ref());
-            // A total may change while leases stand.
-            let total = |plan: &Plan| Plan { total: 0, ..plan.clone() };
-            let plans = shared.map(|shared| shared.budgets.iter().map(total).collect::<Vec<_>>());
-            let tier = c.membership.as_ref().map(|fleet| fleet.tier.clone());
-            (plans, shared.map(|shared| (shared.gossip, shared.judge.clone())), tier)
-        };
-        ensure!(plans(self) == plans(&new), "options: <shared-state>: all but a total takes a restart");
-        self.reference.set(new.reference.get());
-        self.addresses.set(new.addresses.get());
-        self.options.swap(&new.options);
-        Ok(())
-    }
-
-    /// Weights and how much may be used at once may change while the server runs.
-    fn refuse_what_takes_a_restart(&self, new: &Options) -> Result<()> {
-        let options = self.options.borrow();
-        let Some((before, after)) = options.tenants.as_ref().zip(new.tenants.as_ref()) else {
-            let same = options.tenants.is_some() == new.tenants.is_some();
-            ensure!(same, "tenants: telling them apart or not takes a restart");
-            return Ok(());
-        };
-        let ways = (&before.by, before.origin, before.surplus_value);
-        ensure!(ways == (&after.by, after.origin, after.surplus_value), "tenants: this takes a restart");
-        ensure!(before.fair.ceiling() == after.fair.ceiling(), "ceilings: others take a restart");
-        Ok(())
-    }
-
     pub fn read(text: &str, path: &Path) -> Result<Self> {
         let file: Value = serde_json::from_str(text).context("not JSON")?;
         let at = |path: &str| {
@@ -384,7 +303,7 @@
     /// keeps the rules, and noted: another customer's settings are no reason to refuse a start.
     fn settle_what_the_wire_leaves_open(&mut self) -> Result<()> {
         let site = &mut self.settings.deployment;
-        let options = self.options.get_mut();
+        let options = Arc::make_mut(self.options.get_mut());
         let mut note = |key: &str, what: &str| self.notes.push(format!("settings: {key}: {what}"));
         // What is remembered of calls lies in this process, under its own limit, not in the interpreter's.
         site.entry_kb = 0.0;
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -4,6 +4,7 @@
 pub mod configuration;
 pub mod coordinate;
 pub mod drain;
+pub mod reload;
 pub mod signals;
 pub mod start;
 pub mod tasks;
--- /dev/null
+++ b/crates/server/src/lifecycle/reload.rs
@@ -0,0 +1,201 @@
+//! A change of settings while the server runs. Files are read, checked and compared on a thread of the
+//! blocking pool; the serving thread only swaps what is ready and hands the module small parts of the change,
+//! so that its pauses do not grow with the files. One change at a time: the files are read after the change
+//! before is in force, so an older reading never follows a newer one.
+
+use super::configuration::{Candidate, Configuration, hash_of};
+use super::tasks::{Input, Server};
+use anyhow::{Context, Result, ensure};
+use meadowstream_fair::Retune;
+use meadowstream_options::{Options, Tenants};
+use meadowstream_shared_state::budget::Plan;
+use std::cell::Cell;
+use std::collections::HashSet;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tracing::{info, warn};
+
+/// Names of tenants that are counted by name.
+pub type TenantNames = Arc<HashSet<Vec<u8>>>;
+
+/// Who changes settings waits here for the change before.
+#[derive(Default)]
+pub struct Changes {
+    lock: async_lock::Mutex<()>,
+    /// A reload waits that has read nothing yet: it will see whatever another signal is about.
+    reload_waits: Cell<bool>,
+}
+
+/// The files of a change to be read, and the options in force to compare them with.
+struct Request {
+    path: PathBuf,
+    options_path: Option<PathBuf>,
+    /// The settings of a change by stages and the hash they must have.
+    change: Option<(PathBuf, u64)>,
+    in_force: Arc<Options>,
+}
+
+/// A change that is read and checked; taking it over costs the serving thread no more than its parts.
+struct Prepared {
+    configuration: Configuration,
+    retunes: Vec<Retune>,
+    tenant_names: Option<TenantNames>,
+}
+
+impl Request {
+    /// Reads and compares; runs on the blocking pool.
+    fn prepare(self) -> Result<Prepared> {
+        let change = self.change.as_ref().map(|(path, _)| path.as_path());
+        if let Some((path, hash)) = &self.change {
+            let shown = path.display();
+            let bytes = std::fs::read(path).with_context(|| format!("cannot read {shown}"))?;
+            let found = hash_of(&bytes);
+            ensure!(found == *hash, "{shown} has the hash {found:016x}, not {hash:016x}");
+        }
+        let configuration = Configuration::load(&self.path, self.options_path.as_deref(), change)?;
+        let (mut retunes, mut tenant_names) = (Vec::new(), None);
+        {
+            let new = configuration.options.borrow();
+            if let Some((before, after)) = tenants_changed(&self.in_force, &new)? {
+                retunes = Retune::between(&before.fair, &after.fair);
+                tenant_names = Some(names_of(after));
+            }
+        }
+        Ok(Prepared { configuration, retunes, tenant_names })
+    }
+}
+
+pub fn names_of(tenants: &Tenants) -> TenantNames {
+    Arc::new(tenants.fair.named.iter().map(|(name, _)| name.clone()).collect())
+}
+
+/// Weights and how much may be used at once may change while the server runs; an error names what may not.
+fn tenants_changed<'a>(
+    before: &'a Options,
+    after: &'a Options,
+) -> Result<Option<(&'a Tenants, &'a Tenants)>> {
+    let Some((before, after)) = before.tenants.as_ref().zip(after.tenants.as_ref()) else {
+        let same = before.tenants.is_some() == after.tenants.is_some();
+        ensure!(same, "tenants: telling them apart or not takes a restart");
+        return Ok(None);
+    };
+    let ways = (&before.by, before.origin, before.surplus_value);
+    ensure!(ways == (&after.by, after.origin, after.surplus_value), "tenants: this takes a restart");
+    ensure!(before.fair.ceiling() == after.fair.ceiling(), "ceilings: others take a restart");
+    Ok(Some((before, after)))
+}
+
+/// Guards against parties that have moved: what was open to the old places ends soon. A file that cannot
+/// be served changes nothing. The file has a place among the descriptors like all that is open, for which it
+/// waits without holding up the notice to leave. Signals that come while a reload waits are one with it.
+pub async fn reload(server: Rc<Server>) {
+    if server.changes.reload_waits.replace(true) {
+        return;
+    }
+    let _turn = server.changes.lock.lock().await;
+    server.changes.reload_waits.set(false);
+    let candidate = server.configuration.candidate.borrow().clone();
+    let change = candidate.and_then(|candidate| Some((candidate.path, candidate.adopted?)));
+    if let Err(error) = apply(&server, change).await {
+        server.counters.reloads_refused.add();
+        warn!("configuration kept as it was: {error:#}");
+    }
+}
+
+/// Goes by the settings of a change, known by their hash, or by its own again; `Err` leaves all as it is.
+pub async fn adopt(server: &Rc<Server>, change: Option<u64>) -> Result<()> {
+    let _turn = server.changes.lock.lock().await;
+    let candidate = server.configuration.candidate.borrow().clone();
+    let candidate = candidate.context("<rollout> is not in the options")?;
+    apply(server, change.map(|hash| (candidate.path.clone(), hash))).await?;
+    *server.configuration.candidate.borrow_mut() = Some(Candidate { adopted: change, ..candidate });
+    Ok(())
+}
+
+/// Reads the files, checks that they can be taken over while the server runs, and puts them in force.
+async fn apply(server: &Rc<Server>, change: Option<(PathBuf, u64)>) -> Result<()> {
+    let configuration = &server.configuration;
+    let request = Request {
+        path: configuration.path.clone(),
+        options_path: configuration.options_path.clone(),
+        change,
+        in_force: configuration.options.borrow().clone(),
+    };
+    let place = server.descriptors.for_file(&server.pool).await;
+    let prepared = blocking::unblock(move || request.prepare()).await;
+    drop(place);
+    let Prepared { configuration: new, retunes, tenant_names } = prepared?;
+    let began = Instant::now();
+    check_unchanged(configuration, &new)?;
+    configuration.reference.set(new.reference.get());
+    configuration.addresses.set(new.addresses.get());
+    let new_options = new.options.borrow().clone();
+    let old_options = configuration.options.replace(new_options);
+    let old_names =
+        server.shared.as_ref().zip(tenant_names).map(|(shared, names)| shared.name_tenants(names));
+    let swapped = began.elapsed();
+    // Many thousand names are freed where nobody waits.
+    blocking::unblock(move || drop((new, old_options, old_names))).detach();
+    announce(server, retunes, swapped).await;
+    Ok(())
+}
+
+/// What only a restart changes.
+fn check_unchanged(old: &Configuration, new: &Configuration) -> Result<()> {
+    ensure!((&new.name, new.listen) == (&old.name, old.listen), "name, listen: another takes a restart");
+    let calls = |configuration: &Configuration| configuration.addresses.get().records.is_some();
+    ensure!(calls(old) == calls(new), "records: a call more or less takes a restart");
+    {
+        let (before, after) = (old.options.borrow(), new.options.borrow());
+        let same = (&before.tokens, &before.left_out, &before.rollout)
+            == (&after.tokens, &after.left_out, &after.rollout);
+        ensure!(same, "options: <tokens>, <calls>, <rollout>: others take a restart");
+    }
+    let fleet = |c: &Configuration| {
+        c.membership.as_ref().map(|f| (f.bind, f.advertise, f.name.clone(), f.seeds.clone()))
+    };
+    let same = fleet(old) == fleet(new)
+        && old.membership.as_ref().map(|f| &f.settings) == new.membership.as_ref().map(|f| &f.settings);
+    ensure!(same, "options: <membership>: another takes a restart");
+    let plans = |c: &Configuration| {
+        let shared = c.membership.as_ref().and_then(|fleet| fleet.shared.as_ref());
+        // A total may change while leases stand.
+        let total = |plan: &Plan| Plan { total: 0, ..plan.clone() };
+        let plans = shared.map(|shared| shared.budgets.iter().map(total).collect::<Vec<_>>());
+        let tier = c.membership.as_ref().map(|fleet| fleet.tier.clone());
+        (plans, shared.map(|shared| (shared.gossip, shared.judge.clone())), tier)
+    };
+    ensure!(plans(old) == plans(new), "options: <shared-state>: all but a total takes a restart");
+    Ok(())
+}
+
+/// Tells all who go by settings that these are others now. `longest` is the longest pause of the serving
+/// thread so far; the module's owner adds its own.
+async fn announce(server: &Server, retunes: Vec<Retune>, longest: Duration) {
+    server.counters.reloads.add();
+    let reference = server.configuration.reference.get();
+    let _ = server.inputs.send(Input::SteerTo(reference)).await;
+    let budget = |options: &Options| {
+        options.shared_state.as_ref().and_then(|shared| Some(shared.budget.as_ref()?.total))
+    };
+    let total = budget(&server.configuration.options.borrow());
+    if let Some((shared, total)) = server.shared.as_ref().zip(total)
+        && let Err(fault) = shared.set_total(total)
+    {
+        warn!("<shared-state>: {fault}");
+    }
+    server.pool.close_all();
+    let _ = server.moved.0.try_send(());
+    server.retune_pause.set(Duration::ZERO);
+    let parts = retunes.len();
+    for retune in retunes {
+        let _ = server.inputs.send(Input::Retune(Box::new(retune))).await;
+    }
+    let (done, is_done) = async_channel::bounded(1);
+    let _ = server.inputs.send(Input::Reached(done)).await;
+    let _ = is_done.recv().await;
+    let pause_us = longest.max(server.retune_pause.get()).as_micros() as u64;
+    info!(addresses = ?server.configuration.addresses.get(), parts, pause_us, "configuration read again");
+}
--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -1,5 +1,6 @@
 //! The start: one thread, one executor, the tasks.
 
+use super::reload::{self, Changes};
 use super::tasks::rollout::Rollout;
 use super::tasks::{Input, Server, accept, catalog, decisions::Decisions, fleet, link};
 use super::{clock::Clock, configuration::Configuration, drain, signals};
@@ -13,6 +14,7 @@
 use std::cell::Cell;
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::time::Duration;
 use tracing::{info, warn};
 
 /// Inputs that may wait for the module; who brings more waits until it is their turn.
@@ -55,7 +57,7 @@
     });
     let shared = shared.transpose()?;
     if let Some((shared, tenants)) = shared.as_ref().zip(configuration.options.borrow().tenants.as_ref()) {
-        shared.name_tenants(tenants.fair.named.iter().map(|(name, _)| name.as_slice()));
+        shared.name_tenants(reload::names_of(tenants));
     }
     let (ends, ended) = async_channel::bounded(1);
     let candidate = configuration.candidate.borrow().clone();
@@ -85,6 +87,8 @@
         left,
         shared,
         rollout,
+        changes: Changes::default(),
+        retune_pause: Cell::new(Duration::ZERO),
     });
     executor.spawn(signals::heed(server.clone(), signals, ended, stay)).detach();
     executor.spawn(link::keep(server.clone())).detach();
--- a/crates/server/src/lifecycle/tasks/decisions.rs
+++ b/crates/server/src/lifecycle/tasks/decisions.rs
@@ -15,12 +15,14 @@
 use futures_lite::future;
 use meadowstream::brain::{Brain, TICK};
 use meadowstream::{Arrival, Effect, Ending, Gauges, Host, Nanos};
+use meadowstream_fair::Retune;
 use meadowstream_routing::Wish;
 use siphasher::sip::SipHasher13;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::hash::Hasher;
 use std::rc::Rc;
+use std::time::Instant;
 use tracing::{debug, info, warn};
 
 /// A wake that wants gauges goes without when none have come after this long: guards against a link that
@@ -225,8 +227,9 @@
             }
             Input::RoomBelow => self.woken(ROOM_BELOW, Gauges::default()),
             Input::ShowTenants => self.show_tenants(),
-            Input::Retune(settings) => {
-                self.with_brain(|brain, now, _| brain.retune(now, &settings));
+            Input::Retune(change) => self.retune(&change),
+            Input::Reached(done) => {
+                let _ = done.try_send(());
             }
             Input::SteerTo(reference) => self.with_brain(|brain, _, _| brain.steer_to(reference)),
             Input::Leave => {
@@ -283,6 +286,14 @@
         self.with_brain(|brain, now, hands| brain.arrived(now, arrival, hands));
     }
 
+    /// Takes one part of a change of shares over, and notes the longest pause that a part has made.
+    fn retune(&mut self, change: &Retune) {
+        let began = Instant::now();
+        self.with_brain(|brain, now, _| brain.retune(now, change));
+        let pause = &self.hands.server.retune_pause;
+        pause.set(pause.get().max(began.elapsed()));
+    }
+
     /// Who asks for most, and how promises stand: a bounded number of lines.
     fn show_tenants(&mut self) {
         let options = self.hands.server.configuration.options.borrow();
@@ -312,6 +323,10 @@
         let (mut deployment, seed) = (configuration.settings.deployment.clone(), configuration.seed);
         deployment.cold = cold;
         deployment.reference = configuration.reference.get();
+        // A change that came before the first link is in force from the start.
+        let options = configuration.options.borrow();
+        deployment.fair = options.tenants.as_ref().map(|tenants| tenants.fair.clone()).or(deployment.fair);
+        drop(options);
         let born = self.hands.server.clock.now().saturating_sub(age);
         self.brain = Some(Brain::new(deployment, seed, born, &mut self.hands));
         if self.hands.server.leaves() {
--- a/crates/server/src/lifecycle/tasks/mod.rs
+++ b/crates/server/src/lifecycle/tasks/mod.rs
@@ -11,6 +11,7 @@
 
 use super::clock::Clock;
 use super::configuration::Configuration;
+use super::reload::Changes;
 use crate::memory::shared::Shared;
 use crate::memory::{connections::*, counters::Counters, descriptors::Descriptors, pool::Pool};
 use crate::wire::{interpreter::Notice, ring::Ring};
@@ -23,6 +24,7 @@
 use std::io::{ErrorKind, Result};
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// What all tasks of the one thread use.
 pub struct Server {
@@ -49,6 +51,10 @@
     pub shared: Option<Shared>,
     /// This server's part in changes by stages, where the options say so.
     pub rollout: Option<rollout::Rollout>,
+    /// Changes of settings, one at a time.
+    pub changes: Changes,
+    /// Longest time that a part of the last change held the module up.
+    pub retune_pause: Cell<Duration>,
 }
 
 impl Server {
@@ -118,8 +124,10 @@
     RoomBelow,
     /// The log is to say who asks for most.
     ShowTenants,
-    /// Weights and shares are others from now on.
-    Retune(Box<meadowstream_fair::Settings>),
+    /// A part of a change of weights and shares.
+    Retune(Box<meadowstream_fair::Retune>),
+    /// All that was sent before this has been taken in.
+    Reached(Sender<()>),
     /// The busy share of the cores to steer to from now on.
     SteerTo(f64),
     Leave,
--- a/crates/server/src/lifecycle/tasks/rollout.rs
+++ b/crates/server/src/lifecycle/tasks/rollout.rs
@@ -4,7 +4,7 @@
 
 use super::Server;
 use crate::lifecycle::configuration::{Candidate, hash_of};
-use crate::lifecycle::signals;
+use crate::lifecycle::reload;
 use crate::memory::figures::Record;
 use anyhow::Context;
 use async_channel::Sender;
@@ -146,10 +146,10 @@
     let mark = rollout.candidate.mark.clone();
     let done = match adopt {
         None => match blocking::unblock(move || remove(&mark)).await {
-            Ok(()) => server.configuration.adopt(None),
+            Ok(()) => reload::adopt(&server, None).await,
             Err(error) => Err(anyhow::Error::from(error).context("cannot take back the mark on disk")),
         },
-        Some(hash) => match server.configuration.adopt(Some(hash)) {
+        Some(hash) => match reload::adopt(&server, Some(hash)).await {
             Ok(()) => {
                 let written = blocking::unblock(move || write(&mark, &format!("{hash:016x}\n"))).await;
                 written.map_err(|error| anyhow::Error::from(error).context("cannot put the mark on disk"))
@@ -165,7 +165,6 @@
             rollout.abouts.borrow_mut().changed(settings);
             let settings = format!("{settings:016x}");
             info!(target: "fleet", adopted = adopt.is_some(), settings, "settings");
-            signals::took_over(&server).await;
             // What was done by other settings is not told as done by these.
             rollout.record.take();
         }
--- a/crates/server/src/memory/shared.rs
+++ b/crates/server/src/memory/shared.rs
@@ -1,6 +1,7 @@
 //! What this server shares with the others: the pure core, the calls out below against the fleet's budget,
 //! and readings of both clocks. The fleet's task and the module's owner both use it, on the one thread.
 
+use crate::lifecycle::reload::TenantNames;
 use crate::memory::counters::Counters;
 use crate::memory::tier::{Over, Tier};
 use meadowstream_routing::Wish;
@@ -9,14 +10,13 @@
 use meadowstream_shared_state::permits::Permits;
 use meadowstream_shared_state::{Settings, SharedState, Who};
 use std::cell::RefCell;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 pub struct Shared {
     inner: RefCell<Inner>,
     /// Tenants that are counted by name: those that the options name.
-    named: RefCell<HashSet<Vec<u8>>>,
+    named: RefCell<TenantNames>,
     began: Instant,
 }
 
@@ -112,9 +112,9 @@
         inner.permits.ended(number, surely, use_most);
     }
 
-    /// Tenants counted by name from now on.
-    pub fn name_tenants<'a>(&self, names: impl Iterator<Item = &'a [u8]>) {
-        *self.named.borrow_mut() = names.map(<[u8]>::to_vec).collect();
+    /// Tenants counted by name from now on; returns those that were so far.
+    pub fn name_tenants(&self, names: TenantNames) -> TenantNames {
+        self.named.replace(names)
     }
 
     /// The tenant's name in keys of counts; `None` for those that are not counted by name, so that peers
--- a/crates/server/tests/server.rs
+++ b/crates/server/tests/server.rs
@@ -41,6 +41,8 @@
 #[test_case("gauges_late")]
 #[test_case("adds_up")]
 #[test_case("reload")]
+#[test_case("reload_many_tenants")]
+#[test_case("reload_before_the_link")]
 #[test_case("cannot_be_served")]
 #[test_case("tenants")]
 #[test_case("tenants_faulty")]
--- a/crates/server/tests/stand_ins.rs
+++ b/crates/server/tests/stand_ins.rs
@@ -19,6 +19,9 @@
 //!   base64), `gauges on|off`, `unlink`.
 //! - `called TAG BODY`, `reply STATUS BODY [HEADER]`, `hang up` (on the call), `given up` (by the server),
 //!   `no records` (connections there are refused), `records full` (nobody accepts them), `no catalog`.
+//! - `many-tenants N WEIGHT` for options that name so many tenants `t0`, `t1`, ... of that weight;
+//!   `until-weight NAME WEIGHT` asks for the shares until the log shows a tenant so; `pauses-at-most MS` for
+//!   the longest pause that the log shows of any change of settings.
 //! - `moves` (all but the balancers stand elsewhere now, and the server is told), `rewrite` (the file is as
 //!   configured, and the server is told), `half-rewrite` (half of the file is there when it is told).
 //! - `descriptors N` (before the start), `holds-at-most N`; `counts COUNTER LEAST`, `counted COUNTER
@@ -309,6 +312,24 @@
         }
     }
 
+    fn until_weight(&mut self, name: &str, weight: &str) {
+        let shown = format!("tenant=\"{name}\" weight={weight}");
+        let end = Instant::now() + PATIENCE;
+        while !self.seen.iter().any(|line| line.contains(&shown)) {
+            assert!(Instant::now() < end, "no {shown:?}: {:?}", self.seen);
+            self.signal("USR1");
+            std::thread::sleep(Duration::from_millis(100));
+            self.seen.extend(self.log.try_iter());
+        }
+    }
+
+    fn pauses_at_most(&mut self, ms: u64) {
+        self.seen.extend(self.log.try_iter());
+        let pauses = self.seen.iter().filter_map(|line| line.split(" pause_us=").nth(1)?.trim().parse().ok());
+        let pauses: Vec<u64> = pauses.collect();
+        assert!(!pauses.is_empty() && pauses.iter().all(|us| *us <= ms * 1000), "{pauses:?}");
+    }
+
     fn exits(&mut self, code: Option<i32>) {
         // The log ends with the process, or this fails.
         while let Ok(line) = self.log.recv_timeout(PATIENCE) {
@@ -604,6 +625,16 @@
                 std::fs::write(self.file(), &whole[..whole.len() / 2]).unwrap();
                 self.signal("HUP");
             }
+            ["half-rewrite-options"] => {
+                self.write_files();
+                let file = self.file().with_extension("xml");
+                let whole = std::fs::read_to_string(&file).unwrap();
+                std::fs::write(&file, &whole[..whole.len() / 2]).unwrap();
+                self.signal("HUP");
+            }
+            ["many-tenants", count, weight] => self.options = Some(many_tenants(count, weight)),
+            ["until-weight", name, weight] => self.until_weight(name, weight),
+            ["pauses-at-most", ms] => self.pauses_at_most(ms.parse().unwrap()),
             ["no", "records"] => self.records = None,
             ["reported", ..] => {
                 let mut datagram = [0; 100];
@@ -620,6 +651,18 @@
     }
 }
 
+/// Options with so many tenants, twice as many accounts and some for others.
+fn many_tenants(count: &str, weight: &str) -> String {
+    let count: usize = count.parse().unwrap();
+    let tenants: Vec<String> =
+        (0..count).map(|n| format!(r#"<tenant name="t{n}" weight="{weight}"/>"#)).collect();
+    let accounts = 2 * count + 16;
+    format!(
+        "<tenants by=\"field\" field=\"venue\" origin=\"sender\">\n<ceilings accounts=\"{accounts}\"/>\n{}\n</tenants>",
+        tenants.join("\n")
+    )
+}
+
 impl Drop for Stage {
     fn drop(&mut self) {
         if let Some(server) = &mut self.server {
