--- a/crates/capacity/src/real.rs
+++ b/crates/capacity/src/real.rs
@@ -49,6 +49,8 @@
     pub p50: u64,
     pub p99: u64,
     pub most: u64,
+    /// How late the load's own timers fired, 99 in 100: what the machine adds to every wait.
+    pub timer_p99: u64,
     /// Resident bytes at the end, and percent of a core over the load.
     pub resident: u64,
     pub processor: f64,
@@ -98,7 +100,7 @@
     let processor = (process.processor()? - before) / began.elapsed().as_secs_f64() * 100.0;
     let pauses = process.lines("configuration read again");
     let pause = pauses.iter().filter_map(|(_, line)| line["pause_us"].as_u64()).max();
-    let Loaded { times, sent, succeeded } = loaded;
+    let Loaded { times, lateness, sent, succeeded } = loaded;
     Ok(Added {
         load,
         sent,
@@ -106,6 +108,7 @@
         p50: times.value_at_quantile(0.5),
         p99: times.value_at_quantile(0.99),
         most: times.max(),
+        timer_p99: lateness.value_at_quantile(0.99),
         resident: process.resident()?,
         processor,
         pause,
@@ -114,6 +117,7 @@
 
 struct Loaded {
     times: Histogram<u64>,
+    lateness: Histogram<u64>,
     sent: u64,
     succeeded: u64,
 }
@@ -123,6 +127,7 @@
     let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
     let balancer = Balancer::new(process.listen, CONNECTIONS, executor);
     let times = Rc::new(RefCell::new(Histogram::<u64>::new(3)?));
+    let mut lateness = Histogram::<u64>::new(3)?;
     let (open, succeeded) = (Rc::new(Cell::new(0_u64)), Rc::new(Cell::new(0_u64)));
     let span = Duration::from_secs(load.seconds);
     let mut rng = ChaCha8Rng::seed_from_u64(load.rate as u64);
@@ -134,6 +139,7 @@
             let mut next = began;
             while next < began + span {
                 Timer::at(next).await;
+                lateness.record(next.elapsed().as_micros() as u64)?;
                 next += gap;
                 sent += 1;
                 let tenant = rng.next_u64() % load.tenants as u64;
@@ -159,11 +165,12 @@
             while open.get() > 0 && Instant::now() < end {
                 Timer::after(Duration::from_millis(20)).await;
             }
-        }));
+            Ok::<_, anyhow::Error>(())
+        }))?;
         changes.join().expect("the thread of changes does not panic")
     })?;
     let times = times.borrow().clone();
-    Ok(Loaded { times, sent, succeeded: succeeded.get() })
+    Ok(Loaded { times, lateness, sent, succeeded: succeeded.get() })
 }
 
 /// Changes every tenant's weight, evenly over the load.
--- a/crates/capacity/src/report.rs
+++ b/crates/capacity/src/report.rs
@@ -211,11 +211,11 @@
 }
 
 fn added_line(one: &Added) -> String {
-    let Added { load, sent, succeeded, p50, p99, most, resident, processor, pause } = one;
+    let Added { load, sent, succeeded, p50, p99, most, timer_p99, resident, processor, pause } = one;
     let pause = pause.map_or("-".to_string(), |pause| format!("{pause} us"));
     format!(
         "{} tenants, {} routes, {} a second: {succeeded} of {sent} succeeded, added p50 {p50} us, p99 {p99} us, most \
-         {most} us; {:.1} MB, {processor:.1}% of a core; {} changes, longest pause {pause}",
+         {most} us (timers of the load late by {timer_p99} us, p99); {:.1} MB, {processor:.1}% of a core; {} changes, longest pause {pause}",
         load.tenants,
         load.routes,
         load.rate,
--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -5,13 +5,14 @@
 use crate::{Membership, Nanos, State};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Longest time in nanoseconds between two readings of the view, should a change have gone unnoticed.
 const AGE_MAX: Nanos = 10_000_000_000;
 
 #[derive(Debug, Default)]
 pub struct Directory {
-    names: Vec<String>,
+    names: Arc<Vec<String>>,
     addresses: HashMap<String, SocketAddr>,
     /// The last change of the view that is in it, and when it was read.
     read: Option<(Nanos, usize, Nanos)>,
@@ -30,13 +31,14 @@
         self.read = Some((mark.0, mark.1, now));
         let living = membership.foca.iter_members().filter(|member| member.state() != State::Down);
         self.addresses = living.map(|member| (member.id().name.clone(), member.id().addr)).collect();
-        self.names = self.addresses.keys().cloned().collect();
-        self.names.sort_unstable();
+        let mut names: Vec<String> = self.addresses.keys().cloned().collect();
+        names.sort_unstable();
+        self.names = Arc::new(names);
         true
     }
 
     /// Members alive or suspect, this one excluded, in the order of their names.
-    pub fn names(&self) -> &[String] {
+    pub fn names(&self) -> &Arc<Vec<String>> {
         &self.names
     }
 
--- /dev/null
+++ b/crates/replication/src/member.rs
@@ -0,0 +1,694 @@
+//! One member's part: it holds the committed log's end, pushes what is new to a few neighbours, pulls from one
+//! in turn, fetches a checkpoint where it lags far, and reports what it goes by. On a control machine it has
+//! a [`Replica`] beside it.
+
+use crate::Nanos;
+use crate::budget::ByteBudget;
+use crate::history::{CHECKPOINT_EVERY, Fault, History, Snapshot, Taken};
+use crate::message::{BODY_MAX, Fresh, Location, Message, REASON_MAX, Report};
+use crate::operator::Requests;
+use crate::peers::Peers;
+use crate::replica::{NotPublished, Replica, Saved};
+use crate::revision::{Change, Entry, Revision};
+use crate::state::{KEY_MAX, Text};
+use crate::status::Status;
+use crate::transfer::{Step, Transfer};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng};
+use std::sync::Arc;
+
+const MILLISECOND: Nanos = 1_000_000;
+const SECOND: Nanos = 1_000_000_000;
+/// Neighbours in the zone that a new entry is pushed to; three reach 19 in 20, pulls the rest.
+const PUSHED_TO: usize = 3;
+/// Members of each zone that the publisher pushes to.
+const RELAYS: usize = 2;
+/// One pull in so many goes to any member of the fleet, the others within the zone.
+const PULL_ANYWHERE: u64 = 4;
+/// Messages of entries that one question is answered with.
+const ANSWERS_MAX: usize = 3;
+/// A report is told again this often, and first within a part of a second.
+const REPORT_EVERY: Nanos = 10 * SECOND;
+const REPORT_SOON: Nanos = 200 * MILLISECOND;
+/// The publisher says how fresh the log is, and asks members that lag for reports, this often.
+const FRESH_EVERY: Nanos = SECOND;
+const ASK_EVERY: Nanos = 200 * MILLISECOND;
+/// One whose word is older by so much is told a fresher one.
+const FRESHER_MS: u64 = 1_500;
+/// A control machine has nothing else to send: it may send so many times as much as a server.
+const CONTROL_SHARE: u64 = 16;
+/// Without room in the budget a chunk is asked for again this much later.
+const CHUNK_PAUSE: Nanos = 100 * MILLISECOND;
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub location: Location,
+    /// Names of the control machines that keep the log, an odd number of them.
+    pub replicas: Vec<String>,
+    /// Between two pulls, more or less a quarter.
+    pub pull_period: Nanos,
+    /// Bytes that a server sends a second at the most, messages between replicas aside.
+    pub bytes_a_second: u64,
+}
+
+impl Settings {
+    pub fn new(location: Location, replicas: Vec<String>) -> Settings {
+        Settings { location, replicas, pull_period: SECOND / 2, bytes_a_second: 12_000 }
+    }
+
+    /// What is wrong, naming the setting.
+    pub fn check(&self) -> Result<(), String> {
+        let distinct: std::collections::BTreeSet<&String> = self.replicas.iter().collect();
+        let odd = !self.replicas.len().is_multiple_of(2) && self.replicas.len() <= 9;
+        if !odd || distinct.len() != self.replicas.len() {
+            return Err(format!("replica: 1, 3, 5, 7 or 9 different names, not {}", self.replicas.len()));
+        }
+        if self.pull_period < 10 * MILLISECOND {
+            return Err("pull-ms: 10 at least".into());
+        }
+        if self.bytes_a_second < 2 * BODY_MAX as u64 {
+            return Err(format!("bytes-a-second: {} at least", 2 * BODY_MAX));
+        }
+        Ok(())
+    }
+}
+
+/// Counts from the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct Counts {
+    pub sent: u64,
+    pub sent_bytes: u64,
+    /// Not sent, since the budget of bytes had no room.
+    pub over_budget: u64,
+    /// No message of ours, or beyond its bounds.
+    pub malformed: u64,
+    /// Entries or chunks whose content was not what their hash said.
+    pub mismatched: u64,
+    pub transfers: u64,
+}
+
+/// What a control machine has beside the rest.
+pub(crate) struct Control {
+    pub(crate) replica: Replica,
+    pub(crate) status: Status,
+    pub(crate) requests: Requests,
+    fresh_due: Nanos,
+    ask_due: Nanos,
+    /// Written to disk last: the committed number, to see that it goes on.
+    saved: u64,
+}
+
+pub struct Member {
+    pub(crate) me: String,
+    settings: Settings,
+    pub(crate) history: History,
+    pub(crate) peers: Peers,
+    budget: ByteBudget,
+    transfer: Option<Transfer>,
+    chunk_due: Nanos,
+    pub(crate) control: Option<Control>,
+    fresh: Fresh,
+    /// The highest number that any member has told of.
+    newest: u64,
+    /// It started with a revision from its disk.
+    from_disk: bool,
+    pub(crate) publisher: Option<String>,
+    /// The last revision put in force, the one that is being checked, and the last one refused.
+    in_force: u64,
+    checking: Option<u64>,
+    refused: Option<(u64, String)>,
+    pull_due: Nanos,
+    report_due: Nanos,
+    out: Vec<(String, Vec<u8>)>,
+    pub counts: Counts,
+    rng: ChaCha8Rng,
+}
+
+impl Member {
+    /// `disk` is what was written by [`Member::take_save`] or for a revision in force before a restart; `Err`
+    /// names a bad setting.
+    pub fn new(
+        me: &str,
+        settings: Settings,
+        seed: u64,
+        now: Nanos,
+        disk: Option<Saved>,
+    ) -> Result<Member, String> {
+        settings.check()?;
+        let is_replica = settings.replicas.iter().any(|replica| replica == me);
+        let mut replica = Replica::new(me, settings.replicas.clone());
+        let mut history = History::default();
+        if let Some(Saved { promised, committed, entries }) = disk {
+            history = History::from_snapshot(committed);
+            replica.restore(promised, entries);
+        }
+        let from_disk = history.number() > 0;
+        let control = is_replica.then(|| Control {
+            replica,
+            status: Status::default(),
+            requests: Requests::default(),
+            fresh_due: now,
+            ask_due: now,
+            saved: history.number(),
+        });
+        let rate = settings.bytes_a_second * if is_replica { CONTROL_SHARE } else { 1 };
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let first = rng.next_u64() % settings.pull_period;
+        Ok(Member {
+            me: me.to_string(),
+            settings,
+            history,
+            peers: Peers::new(me),
+            budget: ByteBudget::new(rate, now),
+            transfer: None,
+            chunk_due: 0,
+            control,
+            fresh: Fresh::default(),
+            newest: 0,
+            from_disk,
+            publisher: None,
+            in_force: 0,
+            checking: None,
+            refused: None,
+            pull_due: now + first,
+            report_due: now + REPORT_EVERY,
+            out: Vec::new(),
+            counts: Counts::default(),
+            rng,
+        })
+    }
+
+    /// The last committed revision held here.
+    pub fn revision(&self) -> Revision {
+        self.history.revision()
+    }
+
+    pub fn history(&self) -> &History {
+        &self.history
+    }
+
+    pub fn in_force(&self) -> u64 {
+        self.in_force
+    }
+
+    pub fn refused(&self) -> Option<&(u64, String)> {
+        self.refused.as_ref()
+    }
+
+    pub fn is_publisher(&self) -> bool {
+        self.control.as_ref().is_some_and(|control| control.replica.is_publisher())
+    }
+
+    pub fn is_replica(&self) -> bool {
+        self.control.is_some()
+    }
+
+    /// Who published last, as far as it is known.
+    pub fn publisher(&self) -> Option<&str> {
+        self.publisher.as_deref()
+    }
+
+    /// For how long this member may have missed a revision: the time since the publisher's last word that what
+    /// is held here is the newest. `None` where there was no such word.
+    pub fn age(&self, now: Nanos) -> Option<Nanos> {
+        (self.fresh.at_ms > 0).then(|| now.saturating_sub(self.fresh.at_ms * MILLISECOND))
+    }
+
+    /// What a publisher knows of the members.
+    pub fn status(&self) -> Option<&Status> {
+        self.control.as_ref().map(|control| &control.status)
+    }
+
+    pub fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    /// Pairs of a checkpoint that have come, while one is fetched.
+    pub fn transferred(&self) -> Option<usize> {
+        self.transfer.as_ref().map(Transfer::pairs)
+    }
+
+    /// Whether this control machine holds the lease on publishing.
+    pub fn set_may_publish(&mut self, may: bool) {
+        if let Some(control) = &mut self.control {
+            control.replica.set_may_publish(may);
+        }
+    }
+
+    /// Publishes a change; its number, if this one stays the publisher.
+    pub fn publish(&mut self, changes: Vec<Change>, now: Nanos) -> Result<u64, NotPublished> {
+        let control = self.control.as_mut().ok_or(NotPublished::NotPublisher)?;
+        let number = control.replica.publish(changes, now, &self.history);
+        self.settle(now);
+        number
+    }
+
+    /// The revision to be checked and put in force next; it is given once, until [`Member::settled`] says what
+    /// became of it.
+    ///
+    /// A member with nothing in force that knows of newer revisions waits for them: what it held in a life
+    /// before may have been newer than what comes first.
+    pub fn take_pending(&mut self) -> Option<Snapshot> {
+        let complete = self.history.complete();
+        let number = complete.revision.at.number;
+        if self.in_force == 0 && self.history.number() < self.newest && !self.from_disk {
+            return None;
+        }
+        let refused = self.refused.as_ref().map_or(0, |(number, _)| *number);
+        if self.checking.is_some() || number <= self.in_force.max(refused) {
+            return None;
+        }
+        self.checking = Some(number);
+        Some(complete.clone())
+    }
+
+    /// The revision has been put in force, or refused with a reason.
+    pub fn settled(&mut self, number: u64, outcome: Result<(), String>, now: Nanos) {
+        self.checking = None;
+        match outcome {
+            Ok(()) => {
+                self.in_force = self.in_force.max(number);
+                self.refused = self.refused.take().filter(|(refused, _)| *refused > number);
+            }
+            Err(why) => {
+                let why = why.chars().take(REASON_MAX / 4).collect();
+                self.refused = Some((number, why));
+            }
+        }
+        self.report_due = self.report_due.min(now + self.rng.next_u64() % REPORT_SOON);
+    }
+
+    fn report(&self) -> Report {
+        Report { in_force: self.in_force, held: self.history.number(), refused: self.refused.clone() }
+    }
+
+    /// Does what is due; `alive` are the others that the fleet's view holds alive, in the order of names.
+    pub fn advance(&mut self, now: Nanos, alive: &Arc<Vec<String>>) {
+        self.peers.set_alive(alive, now);
+        self.advance_control(now);
+        if now >= self.pull_due {
+            let period = self.settings.pull_period;
+            self.pull_due = now + period * 3 / 4 + self.rng.next_u64() % (period / 2);
+            self.pull(now);
+        }
+        if now >= self.report_due {
+            self.report_due = now + REPORT_EVERY;
+            self.send_report(now);
+        }
+        self.fetch(now);
+    }
+
+    fn advance_control(&mut self, now: Nanos) {
+        let Some(control) = &mut self.control else { return };
+        control.replica.advance(now, &self.history);
+        if control.replica.is_publisher() && now >= control.fresh_due {
+            control.fresh_due = now + FRESH_EVERY;
+            self.publisher = Some(self.me.clone());
+            self.fresh = Fresh { at_ms: now / MILLISECOND, number: self.history.number() };
+        }
+        if control.replica.is_publisher() && now >= control.ask_due {
+            control.ask_due = now + ASK_EVERY;
+            let peers = &self.peers;
+            control.status.retain(|name| peers.is_alive(name));
+            let number = self.history.complete().revision.at.number;
+            let asked = control.status.to_ask(peers.alive().iter(), number, now);
+            asked.into_iter().for_each(|name| self.send(&name, &Message::AskReport, now));
+        }
+        self.settle(now);
+    }
+
+    /// When [`Member::advance`] is wanted again.
+    pub fn next_due(&self) -> Nanos {
+        let mut due = self.pull_due.min(self.report_due);
+        if let Some(transfer) = &self.transfer {
+            due = due.min(transfer.due().max(self.chunk_due));
+        }
+        match &self.control {
+            Some(control) if control.replica.is_publisher() => {
+                due.min(control.replica.next_due()).min(control.fresh_due).min(control.ask_due)
+            }
+            Some(control) => due.min(control.replica.next_due()),
+            None => due,
+        }
+    }
+
+    /// Takes what the replica says is committed into the history, tells the members, and answers operators.
+    fn settle(&mut self, now: Nanos) {
+        let Some(control) = &mut self.control else { return };
+        let committed = control.replica.committed(&self.history);
+        self.take_committed(now, &committed, true);
+        self.answer_requests(now);
+        self.send_replica_messages();
+    }
+
+    /// Committed entries of whatever source; whether any was new.
+    fn take_committed(&mut self, now: Nanos, entries: &[Entry], publishes: bool) -> bool {
+        let mut new: Vec<Entry> = Vec::new();
+        for entry in entries {
+            match self.history.take(entry) {
+                Ok(Taken::New) => new.push(entry.clone()),
+                Ok(Taken::Known) => {}
+                Ok(Taken::Gap) => break,
+                Err(Fault::Content) => {
+                    self.counts.mismatched += 1;
+                    break;
+                }
+            }
+        }
+        if new.is_empty() {
+            return false;
+        }
+        if let Some(control) = &mut self.control {
+            control.replica.follow(&self.history);
+            control.status.committed(self.history.complete().revision.at.number, now);
+        }
+        if publishes && self.is_publisher() {
+            let to = self.peers.some_of_each_zone(RELAYS, &mut self.rng);
+            self.push(&to, &new, now);
+        }
+        true
+    }
+
+    /// Sends what has just become known on, to be sent on by those who did not know it.
+    fn push(&mut self, to: &[String], entries: &[Entry], now: Nanos) {
+        for part in messages_of(entries) {
+            let message = self.entries_message(part, true);
+            to.iter().for_each(|name| self.send(name, &message, now));
+        }
+    }
+
+    fn entries_message(&self, entries: Vec<Entry>, pushed: bool) -> Message {
+        Message::Entries { entries, publisher: self.publisher.clone(), pushed, newest: self.history.number() }
+    }
+
+    fn push_in_zone(&mut self, entries: &[Entry], now: Nanos) {
+        let zone = self.settings.location.clone();
+        let mut to: Vec<String> =
+            (0..PUSHED_TO).filter_map(|_| self.peers.one_of(&zone, &mut self.rng)).collect();
+        to.sort_unstable();
+        to.dedup();
+        self.push(&to, entries, now);
+    }
+
+    /// A neighbour in the zone, or at times any member, so that zones hear of each other.
+    fn neighbour(&mut self) -> Option<String> {
+        let anywhere = self.rng.next_u64().is_multiple_of(PULL_ANYWHERE);
+        let near = match anywhere {
+            true => None,
+            false => self.peers.one_of(&self.settings.location, &mut self.rng),
+        };
+        near.or_else(|| self.peers.any(&mut self.rng))
+    }
+
+    fn pull(&mut self, now: Nanos) {
+        if let Some(name) = self.neighbour() {
+            self.send_have(&name, true, now);
+        }
+    }
+
+    fn send_have(&mut self, to: &str, asks: bool, now: Nanos) {
+        let location = self.settings.location.clone();
+        let have = Message::Have { number: self.history.number(), fresh: self.fresh, location, asks };
+        self.send(to, &have, now);
+    }
+
+    fn send_report(&mut self, now: Nanos) {
+        let known = self.publisher.clone().filter(|name| self.peers.is_alive(name));
+        let replicas = &self.settings.replicas;
+        let any = &replicas[(self.rng.next_u64() % replicas.len() as u64) as usize];
+        let to = known.unwrap_or_else(|| any.clone());
+        let report = self.report();
+        if to == self.me {
+            self.heard_report(&to, report);
+        } else {
+            self.send(&to, &Message::Report(report), now);
+        }
+    }
+
+    fn heard_report(&mut self, from: &str, report: Report) {
+        if let Some(control) = &mut self.control {
+            control.status.heard(from, report);
+        }
+    }
+
+    /// Asks for the next chunk of a checkpoint, at the pace of the budget.
+    fn fetch(&mut self, now: Nanos) {
+        self.transfer.take_if(|transfer| transfer.is_given_up());
+        let Some(transfer) = &self.transfer else { return };
+        if now < self.chunk_due || !transfer.is_due(now) {
+            return;
+        }
+        // What is asked for counts as what is sent does: a chunk in for each chunk out.
+        if !self.budget.take(BODY_MAX, now) {
+            self.chunk_due = now + CHUNK_PAUSE;
+            return;
+        }
+        let known = transfer.source().cloned().filter(|name| self.peers.is_alive(name));
+        let Some(of) = known.or_else(|| self.neighbour()) else { return };
+        let Some(transfer) = &mut self.transfer else { return };
+        let checkpoint = transfer.target().at.number;
+        let after = transfer.ask(&of, now);
+        self.send(&of, &Message::Fetch { checkpoint, after }, now);
+    }
+
+    pub(crate) fn send(&mut self, to: &str, message: &Message, now: Nanos) {
+        let body = message.encode();
+        if !self.budget.take(body.len(), now) {
+            self.counts.over_budget += 1;
+            return;
+        }
+        self.put(to, body);
+    }
+
+    fn put(&mut self, to: &str, body: Vec<u8>) {
+        self.counts.sent += 1;
+        self.counts.sent_bytes += body.len() as u64;
+        self.out.push((to.to_string(), body));
+    }
+
+    /// Messages between replicas go out only once all that they rest on is on disk.
+    fn send_replica_messages(&mut self) {
+        let Some(control) = &mut self.control else { return };
+        if control.replica.is_unsaved() {
+            return;
+        }
+        let messages = control.replica.outgoing();
+        messages.iter().for_each(|(to, message)| self.put(to, message.encode()));
+    }
+
+    /// What is to be on disk before a revision is in force.
+    pub fn to_save(&self, snapshot: &Snapshot) -> Saved {
+        match &self.control {
+            Some(control) => control.replica.to_save(&self.history),
+            None => Saved { committed: snapshot.clone(), ..Saved::default() },
+        }
+    }
+
+    /// What a control machine is to write to disk now, whole or not at all, if anything.
+    pub fn take_save(&self) -> Option<Saved> {
+        let control = self.control.as_ref()?;
+        let behind = self.history.number() >= control.saved + CHECKPOINT_EVERY;
+        (control.replica.is_unsaved() || behind).then(|| control.replica.to_save(&self.history))
+    }
+
+    /// It is on disk. Where it could not be written this is not called, and nothing that rests on it is sent.
+    pub fn saved(&mut self, saved: &Saved, now: Nanos) {
+        let Some(control) = &mut self.control else { return };
+        control.saved = saved.committed.revision.at.number;
+        control.replica.saved(&self.history);
+        self.settle(now);
+    }
+
+    /// It could not be written: nothing that rests on it goes out, and this replica stands back.
+    pub fn not_saved(&mut self) {
+        if let Some(control) = &mut self.control {
+            control.replica.drop_unsent();
+            control.replica.set_may_publish(false);
+        }
+    }
+
+    /// Messages to send, each to a member by name; taken once.
+    pub fn outgoing(&mut self) -> Vec<(String, Vec<u8>)> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// A body that an authenticated member has sent.
+    pub fn receive(&mut self, now: Nanos, from: &str, body: &[u8]) {
+        let Some(message) = Message::decode(body) else {
+            self.counts.malformed += 1;
+            return;
+        };
+        match message {
+            Message::Have { number, fresh, location, asks } => {
+                self.peers.note(from, &location);
+                self.newest = self.newest.max(number).max(fresh.number);
+                self.heard_fresh(fresh);
+                self.answer_have(from, number, fresh, asks, now);
+            }
+            Message::Entries { entries, publisher, pushed, newest } => {
+                self.newest = self.newest.max(newest);
+                self.heard_entries(now, from, entries, publisher, pushed);
+            }
+            Message::Offer { checkpoint } => self.heard_offer(from, checkpoint, now),
+            Message::Fetch { checkpoint, after } => self.answer_fetch(from, checkpoint, after, now),
+            Message::Chunk { checkpoint, after, pairs, last } => {
+                self.heard_chunk(checkpoint, &after, &pairs, last, now)
+            }
+            Message::Report(report) => self.heard_report(from, report),
+            Message::AskReport => {
+                self.publisher = Some(from.to_string());
+                self.send_report(now);
+            }
+            Message::Submit { .. }
+            | Message::Revert { .. }
+            | Message::Submitted { .. }
+            | Message::NotPublisher { .. }
+            | Message::AskStatus { .. }
+            | Message::Status { .. } => self.heard_operator(now, from, message),
+            of_replicas => self.heard_replica(now, from, of_replicas),
+        }
+    }
+
+    fn heard_replica(&mut self, now: Nanos, from: &str, message: Message) {
+        let Some(control) = &mut self.control else { return };
+        let publishes = matches!(message, Message::Append { .. });
+        let committed = control.replica.receive(now, from, message, &self.history);
+        if publishes {
+            self.publisher = Some(from.to_string());
+        }
+        self.take_committed(now, &committed, false);
+        self.settle(now);
+    }
+
+    /// The word of a log that goes further than what is held here says nothing of what is held.
+    fn heard_fresh(&mut self, fresh: Fresh) {
+        if fresh.number <= self.history.number() && fresh.at_ms > self.fresh.at_ms {
+            self.fresh = fresh;
+        }
+    }
+
+    fn answer_have(&mut self, from: &str, number: u64, fresh: Fresh, asks: bool, now: Nanos) {
+        if number < self.history.number() {
+            return self.send_after(from, number, now);
+        }
+        let ahead = number > self.history.number();
+        let staler = fresh.at_ms + FRESHER_MS < self.fresh.at_ms;
+        if asks && (ahead || staler) {
+            self.send_have(from, false, now);
+        }
+    }
+
+    fn send_after(&mut self, to: &str, number: u64, now: Nanos) {
+        let Some(entries) = self.history.after(number) else {
+            if let Some(checkpoint) = self.history.to_offer() {
+                let offer = Message::Offer { checkpoint: checkpoint.revision };
+                self.send(to, &offer, now);
+            }
+            return;
+        };
+        // No more than the answers hold is looked at.
+        let entries: Vec<Entry> = entries.take(ANSWERS_MAX * BODY_MAX).cloned().collect();
+        for part in messages_of(&entries).into_iter().take(ANSWERS_MAX) {
+            let message = self.entries_message(part, false);
+            self.send(to, &message, now);
+        }
+    }
+
+    fn heard_entries(
+        &mut self,
+        now: Nanos,
+        from: &str,
+        entries: Vec<Entry>,
+        publisher: Option<String>,
+        pushed: bool,
+    ) {
+        let before = self.history.number();
+        let gap = entries.first().is_some_and(|entry| entry.revision.at.number > before + 1);
+        if self.take_committed(now, &entries, false) {
+            self.publisher = publisher.or(self.publisher.take());
+            let new: Vec<Entry> =
+                entries.into_iter().filter(|entry| entry.revision.at.number > before).collect();
+            if pushed {
+                self.push_in_zone(&new, now);
+            } else {
+                // There may be more where this came from.
+                self.send_have(from, true, now);
+            }
+            self.settle(now);
+        } else if gap {
+            self.send_have(from, true, now);
+        }
+    }
+
+    fn heard_offer(&mut self, from: &str, checkpoint: Revision, now: Nanos) {
+        let number = checkpoint.at.number;
+        self.newest = self.newest.max(number);
+        // One under way goes on unless it has become far older than what is offered.
+        let far = |under_way: &Transfer| under_way.target().at.number + CHECKPOINT_EVERY < number;
+        if number > self.history.number() && self.transfer.as_ref().is_none_or(far) {
+            self.counts.transfers += 1;
+            self.transfer = Some(Transfer::new(checkpoint, from));
+            self.fetch(now);
+        }
+    }
+
+    fn answer_fetch(&mut self, from: &str, number: u64, after: Option<Text>, now: Nanos) {
+        let Some(checkpoint) = self.history.snapshot(number) else {
+            if let Some(newest) = self.history.to_offer().filter(|one| one.revision.at.number > number) {
+                let offer = Message::Offer { checkpoint: newest.revision };
+                self.send(from, &offer, now);
+            }
+            return;
+        };
+        // The head of the message has a key of its own.
+        let (pairs, last) = checkpoint.state.chunk(after.as_ref(), BODY_MAX - 2 * KEY_MAX);
+        let chunk = Message::Chunk { checkpoint: number, after, pairs, last };
+        self.send(from, &chunk, now);
+    }
+
+    fn heard_chunk(
+        &mut self,
+        checkpoint: u64,
+        after: &Option<Text>,
+        pairs: &[(Text, Text)],
+        last: bool,
+        now: Nanos,
+    ) {
+        let Some(transfer) = &mut self.transfer else { return };
+        match transfer.take(checkpoint, after, pairs, last) {
+            Step::Ignored => {}
+            Step::Next => self.fetch(now),
+            Step::Bad => {
+                self.counts.mismatched += 1;
+                self.transfer = None;
+            }
+            Step::Done(snapshot) => {
+                self.transfer = None;
+                if snapshot.revision.at.number > self.history.number() {
+                    self.history = History::from_snapshot(snapshot);
+                    if let Some(control) = &mut self.control {
+                        control.replica.follow(&self.history);
+                    }
+                    self.pull(now);
+                }
+            }
+        }
+    }
+}
+
+/// The entries in as few messages as hold them.
+fn messages_of(entries: &[Entry]) -> Vec<Vec<Entry>> {
+    const ROOM: usize = BODY_MAX - 2 * crate::message::NAME_MAX;
+    let mut parts: Vec<Vec<Entry>> = Vec::new();
+    let mut held = usize::MAX;
+    for entry in entries {
+        let size = entry.size();
+        if held.saturating_add(size) > ROOM {
+            parts.push(Vec::new());
+            held = 0;
+        }
+        held += size;
+        parts.last_mut().expect("pushed before").push(entry.clone());
+    }
+    parts
+}
--- /dev/null
+++ b/crates/replication/src/peers.rs
@@ -0,0 +1,105 @@
+//! Which members stand where: each says so itself, and those that the fleet's view no longer holds are forgotten.
+
+use crate::Nanos;
+use crate::message::Location;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::Rng;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// A member that was not heard of for so long is forgotten.
+const FORGET: Nanos = 60_000_000_000;
+
+#[derive(Debug, Default)]
+pub struct Peers {
+    me: String,
+    /// The living, as the fleet's view has them, in the order of names.
+    alive: Arc<Vec<String>>,
+    known: HashMap<String, Location>,
+    /// Members by zone; a member is in it exactly where it is in `known`.
+    zones: BTreeMap<Location, BTreeSet<String>>,
+    forget_at: Nanos,
+}
+
+impl Peers {
+    pub fn new(me: &str) -> Peers {
+        Peers { me: me.to_string(), ..Peers::default() }
+    }
+
+    /// The members alive, in the order of their names.
+    pub fn set_alive(&mut self, alive: &Arc<Vec<String>>, now: Nanos) {
+        if !Arc::ptr_eq(&self.alive, alive) {
+            self.alive = alive.clone();
+        }
+        if now < self.forget_at {
+            return;
+        }
+        self.forget_at = now + FORGET;
+        let gone: Vec<String> = self.known.keys().filter(|name| !self.is_alive(name)).cloned().collect();
+        gone.iter().for_each(|name| self.forget(name));
+    }
+
+    pub fn is_alive(&self, name: &str) -> bool {
+        self.alive.binary_search_by(|other| other.as_str().cmp(name)).is_ok()
+    }
+
+    pub fn alive(&self) -> &[String] {
+        &self.alive
+    }
+
+    fn forget(&mut self, name: &str) {
+        let Some(location) = self.known.remove(name) else { return };
+        if let Some(members) = self.zones.get_mut(&location) {
+            members.remove(name);
+            if members.is_empty() {
+                self.zones.remove(&location);
+            }
+        }
+    }
+
+    /// A member says where it stands.
+    pub fn note(&mut self, name: &str, location: &Location) {
+        if !self.is_alive(name) || self.known.get(name) == Some(location) {
+            return;
+        }
+        self.forget(name);
+        self.known.insert(name.to_string(), location.clone());
+        self.zones.entry(location.clone()).or_default().insert(name.to_string());
+    }
+
+    pub fn known(&self) -> usize {
+        self.known.len()
+    }
+
+    /// One of the living in a zone, if any is known there.
+    pub fn one_of(&self, zone: &Location, rng: &mut ChaCha8Rng) -> Option<String> {
+        let members = self.zones.get(zone)?;
+        let living = |name: &&String| **name != self.me && self.is_alive(name);
+        let living: Vec<&String> = members.iter().filter(living).collect();
+        pick(&living, rng).map(|name| (*name).clone())
+    }
+
+    /// One of all the living; none where this one itself was drawn.
+    pub fn any(&self, rng: &mut ChaCha8Rng) -> Option<String> {
+        pick(&self.alive, rng).filter(|name| **name != self.me).cloned()
+    }
+
+    /// So many of each zone that is known.
+    pub fn some_of_each_zone(&self, each: usize, rng: &mut ChaCha8Rng) -> Vec<String> {
+        let zones: Vec<Location> = self.zones.keys().cloned().collect();
+        let mut some: Vec<String> = zones
+            .iter()
+            .flat_map(|zone| (0..each).filter_map(|_| self.one_of(zone, rng)).collect::<Vec<_>>())
+            .collect();
+        some.sort_unstable();
+        some.dedup();
+        some
+    }
+}
+
+fn pick<'a, T>(from: &'a [T], rng: &mut ChaCha8Rng) -> Option<&'a T> {
+    if from.is_empty() {
+        return None;
+    }
+    from.get((rng.next_u64() % from.len() as u64) as usize)
+}
--- /dev/null
+++ b/crates/replication/tests/fleet.rs
@@ -0,0 +1,501 @@
+//! The hard cases of a fleet in simulated time. At every step the fleet checks that no number has two contents
+//! and that no server goes back.
+
+use meadowstream_replication::member::Member;
+use meadowstream_replication::message::{Location, Message};
+use meadowstream_replication::revision::{Change, Entry, Position, Revision};
+use meadowstream_replication::sim::{Fleet, Layout, name};
+use meadowstream_replication::state::State;
+use proptest::prelude::*;
+
+const MS: u64 = 1_000_000;
+const S: u64 = 1_000 * MS;
+const REPLICAS: usize = 3;
+const SIZE: usize = 30;
+
+/// Each replica in a region of its own, the servers dealt to regions and zones in turn.
+fn location(node: usize) -> Location {
+    Location { region: format!("r{}", node % 3), zone: format!("z{}", node % 6) }
+}
+
+fn delay(from: usize, to: usize) -> (u64, u64) {
+    if from % 3 == to % 3 { (MS, MS) } else { (20 * MS, 10 * MS) }
+}
+
+fn layout() -> Layout {
+    Layout {
+        size: SIZE,
+        replicas: REPLICAS,
+        location,
+        delay,
+        loss: 0.0,
+        duplicate: 0.0,
+        lag: 4 * S,
+        apply: 5 * MS,
+        pull_period: S / 2,
+    }
+}
+
+/// Settled: there is a publisher, and members know where the others stand.
+fn settled(layout: Layout, seed: u64) -> Fleet {
+    let mut fleet = Fleet::started(layout, seed);
+    fleet.run_for(15 * S);
+    assert!(fleet.publisher().is_some());
+    fleet
+}
+
+fn all() -> Vec<usize> {
+    (0..SIZE).collect()
+}
+
+fn one(n: usize) -> Vec<Change> {
+    vec![Change::set(&format!("tenant/t{}", n % 50), &n.to_string())]
+}
+
+fn many(from: usize, count: usize) -> Vec<Change> {
+    (from..from + count).map(|n| Change::set(&format!("tenant/tenant-{n:05}"), "2")).collect()
+}
+
+/// Seconds until all these go by it.
+fn until_all(fleet: &mut Fleet, nodes: &[usize], number: u64, limit: u64) -> f64 {
+    let took = fleet.run_until_true(limit * S, |fleet| fleet.all_go_by(nodes, number));
+    let lacking = |node: &&usize| fleet.member(**node).is_some_and(|member| member.in_force() < number);
+    let lacking: Vec<&usize> = nodes.iter().filter(lacking).collect();
+    took.unwrap_or_else(|| panic!("{number} not in force within {limit} s on {lacking:?}")) as f64 / S as f64
+}
+
+fn state(fleet: &Fleet, node: usize) -> State {
+    fleet.member(node).expect("it runs").history().state().clone()
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_within_two_seconds() {
+    let mut fleet = settled(layout(), 1);
+    let number = fleet.publish(one(1)).unwrap();
+    let took = until_all(&mut fleet, &all(), number, 10);
+    assert!(took <= 2.0, "{took} s");
+    let publisher = fleet.publisher().unwrap();
+    let waiting = |fleet: &Fleet| {
+        let member = fleet.member(publisher).unwrap();
+        member.status().unwrap().waiting(member.peers().alive().iter(), number)
+    };
+    fleet
+        .run_until_true(5 * S, |fleet| waiting(fleet).is_empty())
+        .expect("the publisher hears that all go by it");
+}
+
+/// Lost, doubled, late and in another order: nothing is lost for good, and nothing comes twice.
+#[test]
+fn a_bad_network_delays_a_change_and_no_more() {
+    let slow = |from: usize, to: usize| (delay(from, to).0, 300 * MS);
+    let mut fleet = settled(Layout { loss: 0.2, duplicate: 0.2, delay: slow, ..layout() }, 2);
+    let mut number = 0;
+    for n in 0..60 {
+        number = fleet.publish(one(n)).unwrap_or(number);
+        fleet.run_for(250 * MS);
+    }
+    until_all(&mut fleet, &all(), number, 30);
+    assert!(all().iter().all(|node| state(&fleet, *node) == state(&fleet, 0)));
+}
+
+#[test]
+fn forty_changes_in_a_burst_are_in_force_within_four_seconds_and_the_bytes_stay_bounded() {
+    let mut fleet = settled(layout(), 3);
+    let before: Vec<u64> = all().iter().map(|n| fleet.member(*n).unwrap().counts.sent_bytes).collect();
+    let numbers: Vec<u64> = (0..40).map(|n| fleet.publish(one(n)).unwrap()).collect();
+    let took = until_all(&mut fleet, &all(), *numbers.last().unwrap(), 10);
+    assert!(took <= 4.0, "{took} s");
+    for (node, before) in before.iter().enumerate().skip(REPLICAS) {
+        let sent = fleet.member(node).unwrap().counts.sent_bytes - before;
+        assert!(sent as f64 <= 12_000.0 * (took + 1.0), "s{node} sent {sent} bytes in {took} s");
+    }
+}
+
+/// A large change travels in parts, and none of it is in force before all of it is.
+#[test]
+fn a_change_of_many_entries_comes_whole() {
+    let mut fleet = settled(layout(), 4);
+    let number = fleet.publish(many(0, 1000)).unwrap();
+    assert!(number > 20, "{number}");
+    until_all(&mut fleet, &all(), number, 20);
+    let partial = fleet.in_force.iter().filter(|(_, _, n)| *n > 1 && *n < number).count();
+    assert_eq!(partial, 0);
+    assert_eq!(state(&fleet, SIZE - 1).len(), 1000);
+}
+
+/// The publisher dies while its change is half on its way: what the next one finds of it is taken back, or
+/// whole.
+#[test]
+fn a_publisher_that_dies_between_two_replicas_leaves_no_half_change() {
+    for at in 0..12 {
+        let mut fleet = settled(layout(), 5 + at);
+        let first = fleet.publish(one(7)).unwrap();
+        until_all(&mut fleet, &all(), first, 10);
+        let old = fleet.publisher().unwrap();
+        fleet.publish(many(0, 200)).unwrap();
+        // One replica hears of it, the other does not.
+        fleet.group((old + 1) % REPLICAS, 1);
+        fleet.cut(0, 1);
+        fleet.run_for(at * 15 * MS);
+        fleet.crash(old);
+        fleet.heal();
+        fleet.run_for(12 * S);
+        assert!(fleet.publisher().is_some_and(|new| new != old));
+        let number = fleet.publish(one(8)).unwrap();
+        let rest: Vec<usize> = all().into_iter().filter(|node| *node != old).collect();
+        until_all(&mut fleet, &rest, number, 10);
+        let keys = state(&fleet, SIZE - 1).len();
+        assert!(keys == 2 || keys == 202, "{keys} keys after a crash at {at}");
+        // The dead one comes back with what it had, and follows.
+        fleet.start(old);
+        until_all(&mut fleet, &all(), number, 20);
+    }
+}
+
+/// Two that both think they hold the lease: one of them commits, and what the other began is nobody's.
+#[test]
+fn of_two_publishers_at_once_one_commits() {
+    let mut fleet = Fleet::new(layout(), 6);
+    fleet.lease_by_hand = true;
+    all().into_iter().for_each(|node| fleet.start(node));
+    fleet.run_for(10 * S);
+    for n in 0..20 {
+        fleet.set_may_publish(0, true);
+        fleet.set_may_publish(1, true);
+        fleet.run_for(150 * MS);
+        fleet.publish_at(0, one(n));
+        fleet.publish_at(1, one(n + 100));
+        fleet.run_for(150 * MS);
+    }
+    fleet.set_may_publish(1, false);
+    fleet.run_for(3 * S);
+    let number = fleet.publish(one(5)).unwrap();
+    until_all(&mut fleet, &all(), number, 10);
+    assert!(all().iter().all(|node| state(&fleet, *node) == state(&fleet, 0)));
+}
+
+/// A region apart keeps its last good, also over restarts; the rest goes on; on the heal it comes up within
+/// its bytes. Without a majority nothing is published.
+#[test]
+fn a_region_apart_keeps_its_last_good_and_catches_up() {
+    let mut fleet = settled(layout(), 7);
+    let before = fleet.publish(one(1)).unwrap();
+    until_all(&mut fleet, &all(), before, 10);
+    let apart: Vec<usize> = all().into_iter().filter(|node| node % 3 == 0).collect();
+    let rest: Vec<usize> = all().into_iter().filter(|node| node % 3 != 0).collect();
+    apart.iter().for_each(|node| fleet.group(*node, 1));
+    fleet.cut(0, 1);
+    fleet.run_for(10 * S);
+    assert_ne!(fleet.publisher(), Some(0), "the side without a majority has no publisher");
+    let mut number = 0;
+    for n in 0..600 {
+        number = fleet.publish(one(n)).unwrap();
+        fleet.run_for(100 * MS);
+        if n % 100 == 0 {
+            let restarted = apart[1 + n / 100];
+            fleet.crash(restarted);
+            fleet.start(restarted);
+        }
+    }
+    until_all(&mut fleet, &rest, number, 10);
+    fleet.run_for(60 * S);
+    let old = fleet.member(apart[4]).unwrap();
+    assert_eq!(old.in_force(), before);
+    assert!(old.age(fleet.now()).unwrap() > 100 * S, "it knows how old its word is");
+    assert!(fleet.member(rest[4]).unwrap().age(fleet.now()).unwrap() < 5 * S);
+    fleet.heal();
+    let sent = fleet.member(apart[4]).unwrap().counts.sent_bytes;
+    let took = until_all(&mut fleet, &all(), number, 30);
+    assert!(took <= 10.0, "{took} s");
+    let sent = fleet.member(apart[4]).unwrap().counts.sent_bytes - sent;
+    assert!(sent as f64 <= 12_000.0 * (took + 1.0), "{sent} bytes in {took} s");
+}
+
+/// Nobody publishes and nobody answers: restarted servers go by what is on their disk, from the start.
+#[test]
+fn with_all_control_machines_away_restarts_go_by_their_disk() {
+    let mut fleet = settled(layout(), 8);
+    let number = fleet.publish(many(0, 300)).unwrap();
+    until_all(&mut fleet, &all(), number, 10);
+    (0..REPLICAS).for_each(|replica| fleet.crash(replica));
+    fleet.run_for(10 * S);
+    for node in REPLICAS..SIZE {
+        fleet.crash(node);
+        fleet.start(node);
+    }
+    fleet.run_for(S);
+    let servers: Vec<usize> = (REPLICAS..SIZE).collect();
+    assert!(fleet.all_go_by(&servers, number));
+    // One with an empty disk has it from its neighbours, though no entry of it is left with them.
+    fleet.crash(9);
+    fleet.spoil_disk(9, 0.0);
+    fleet.start(9);
+    fleet.run_for(20 * S);
+    assert_eq!(state(&fleet, 9), state(&fleet, 10));
+    (0..REPLICAS).for_each(|replica| fleet.start(replica));
+    fleet.run_for(15 * S);
+    let number = fleet.publish(one(3)).expect("a publisher again");
+    until_all(&mut fleet, &all(), number, 10);
+}
+
+/// A file cut short is told from a good one, and what it held is had from others.
+#[test]
+fn a_file_cut_short_is_not_gone_by() {
+    let mut fleet = settled(layout(), 9);
+    let number = fleet.publish(many(0, 300)).unwrap();
+    until_all(&mut fleet, &all(), number, 10);
+    for (node, part) in [(5, 0.999), (6, 0.5), (7, 0.0)] {
+        fleet.crash(node);
+        fleet.spoil_disk(node, part);
+        fleet.start(node);
+        assert_eq!(fleet.member(node).unwrap().revision(), Revision::default());
+    }
+    until_all(&mut fleet, &all(), number, 20);
+}
+
+/// A server whose disk is full refuses a revision with the reason, and comes up once it can write again.
+#[test]
+fn a_full_disk_keeps_the_last_good_and_says_so() {
+    let mut fleet = settled(layout(), 10);
+    let first = fleet.publish(one(1)).unwrap();
+    until_all(&mut fleet, &all(), first, 10);
+    fleet.set_disk_full(12, true);
+    let second = fleet.publish(one(2)).unwrap();
+    fleet.run_for(5 * S);
+    assert_eq!(fleet.member(12).unwrap().in_force(), first);
+    let publisher = fleet.publisher().unwrap();
+    let member = fleet.member(publisher).unwrap();
+    let waiting = member.status().unwrap().waiting(member.peers().alive().iter(), second);
+    assert_eq!(waiting.len(), 1, "{waiting:?}");
+    assert_eq!((waiting[0].name.as_str(), waiting[0].in_force), ("s12", Some(first)));
+    assert_eq!(waiting[0].refused, Some((second, "the disk is full".to_string())));
+    assert!(waiting[0].since > 0 && waiting[0].since < fleet.now());
+    fleet.set_disk_full(12, false);
+    let third = fleet.publish(one(3)).unwrap();
+    until_all(&mut fleet, &all(), third, 10);
+}
+
+/// The publisher's own disk is full: nothing that it has not written counts, and another takes its place.
+#[test]
+fn a_publisher_with_a_full_disk_commits_nothing_and_gives_way() {
+    let mut fleet = settled(layout(), 11);
+    let first = fleet.publish(one(1)).unwrap();
+    until_all(&mut fleet, &all(), first, 10);
+    let old = fleet.publisher().unwrap();
+    fleet.set_disk_full(old, true);
+    assert!(fleet.publish(one(2)).is_some());
+    fleet.run_for(3 * S);
+    assert_eq!(fleet.member(SIZE - 1).unwrap().in_force(), first);
+    // The view changes, and with it the lease.
+    fleet.crash(SIZE - 1);
+    fleet.start(SIZE - 1);
+    fleet.run_for(8 * S);
+    assert!(fleet.publisher().is_some_and(|new| new != old));
+    let number = fleet.publish(one(3)).unwrap();
+    let rest: Vec<usize> = all().into_iter().filter(|node| *node != old).collect();
+    until_all(&mut fleet, &rest, number, 10);
+}
+
+/// Servers that refuse a revision, such as older ones that do not know an element, stay as they are; the
+/// others go on, and a later revision that they know brings them along.
+#[test]
+fn a_revision_that_some_refuse_leaves_them_as_they_are() {
+    let mut fleet = settled(layout(), 12);
+    let refusing = [8, 17, 26];
+    refusing.iter().for_each(|node| fleet.set_refuses(*node, Some("novel/")));
+    let first = fleet.publish(one(1)).unwrap();
+    until_all(&mut fleet, &all(), first, 10);
+    let second = fleet.publish(vec![Change::set("novel/thing", "1")]).unwrap();
+    let rest: Vec<usize> = all().into_iter().filter(|node| !refusing.contains(node)).collect();
+    until_all(&mut fleet, &rest, second, 10);
+    fleet.run_for(3 * S);
+    let member = fleet.member(fleet.publisher().unwrap()).unwrap();
+    let waiting = member.status().unwrap().waiting(member.peers().alive().iter(), second);
+    let names: Vec<&str> = waiting.iter().map(|one| one.name.as_str()).collect();
+    assert_eq!(names, ["s17", "s26", "s8"]);
+    assert!(
+        waiting.iter().all(|one| one.refused.as_ref().is_some_and(|(_, why)| why.contains("novel/thing")))
+    );
+    let third = fleet.publish(vec![Change::remove("novel/thing")]).unwrap();
+    until_all(&mut fleet, &all(), third, 10);
+}
+
+/// Replayed, made up, oversized and garbled bodies change nothing and are counted.
+#[test]
+fn what_is_replayed_made_up_or_oversized_changes_nothing() {
+    let mut fleet = settled(layout(), 13);
+    let first = fleet.publish(one(1)).unwrap();
+    until_all(&mut fleet, &all(), first, 10);
+    let second = fleet.publish(one(2)).unwrap();
+    until_all(&mut fleet, &all(), second, 10);
+    let (before, known) =
+        (state(&fleet, 20), fleet.member(20).unwrap().history().tail().cloned().collect::<Vec<_>>());
+    let send = |fleet: &mut Fleet, entries: Vec<Entry>| {
+        let message = Message::Entries { entries, publisher: Some(name(0)), pushed: true, newest: 0 };
+        fleet.inject(20, 3, message.encode());
+    };
+    // Old ones again; the next number with a content that is not its hash; a number far ahead; an older epoch.
+    send(&mut fleet, known);
+    let at = |number: u64, epoch: u64| Position { epoch, number };
+    let hash = before.hash();
+    let entry = |at, changes| Entry { revision: Revision { at, hash }, changes, partial: false };
+    send(&mut fleet, vec![entry(at(second + 1, 1 << 40), one(9))]);
+    send(&mut fleet, vec![entry(at(second + 9, 1 << 40), Vec::new())]);
+    send(&mut fleet, vec![entry(at(second + 1, 0), Vec::new())]);
+    let long = Change { key: "k".repeat(200), value: None };
+    send(&mut fleet, vec![entry(at(second + 1, 1 << 40), vec![long])]);
+    fleet.inject(20, 3, vec![7; 5000]);
+    fleet.inject(20, 3, b"\xff\xff\xff\xff\xff\xff".to_vec());
+    fleet.run_for(2 * S);
+    let member = fleet.member(20).unwrap();
+    assert_eq!((state(&fleet, 20), member.in_force()), (before, second));
+    assert!(member.counts.malformed >= 2 && member.counts.mismatched >= 3, "{:?}", member.counts);
+    let third = fleet.publish(one(3)).unwrap();
+    until_all(&mut fleet, &all(), third, 10);
+}
+
+/// One far behind fetches a checkpoint; whoever it fetches from dies on the way, and it goes on with others.
+#[test]
+fn a_checkpoint_goes_on_from_others_when_its_source_dies() {
+    let mut fleet = settled(layout(), 14);
+    let late = SIZE - 1;
+    fleet.crash(late);
+    let mut number = 0;
+    for n in 0..40 {
+        number = fleet.publish(many(100 * n, 100)).unwrap();
+        fleet.run_for(S);
+    }
+    for n in 0..600 {
+        number = fleet.publish(one(n)).unwrap();
+        fleet.run_for(20 * MS);
+    }
+    fleet.run_for(5 * S);
+    fleet.spoil_disk(late, 0.0);
+    fleet.start(late);
+    let begun =
+        |fleet: &Fleet| fleet.member(late).and_then(Member::transferred).is_some_and(|pairs| pairs > 500);
+    fleet.run_until_true(60 * S, begun).expect("it fetches a checkpoint");
+    // All but a few of its zone and half of the others die.
+    for node in (REPLICAS..late).filter(|node| node % 6 == late % 6 || node % 2 == 0) {
+        fleet.crash(node);
+    }
+    let took = until_all(&mut fleet, &[late], number, 120);
+    assert_eq!(fleet.member(late).unwrap().counts.transfers, 1, "it did not begin anew");
+    assert_eq!(state(&fleet, late), state(&fleet, 1));
+    println!("{} keys after {took} s", state(&fleet, late).len());
+}
+
+/// A member lives with what others may do at any time; once all is well again, all go by the same.
+fn play_chaos(seed: u64, steps: &[(u8, u8)]) {
+    let mut fleet = Fleet::new(Layout { loss: 0.05, duplicate: 0.05, ..layout() }, seed);
+    fleet.lease_by_hand = true;
+    all().into_iter().for_each(|node| fleet.start(node));
+    fleet.run_for(3 * S);
+    for (n, (what, who)) in steps.iter().enumerate() {
+        let replica = usize::from(*who) % REPLICAS;
+        let node = usize::from(*who) % SIZE;
+        match what % 10 {
+            0 => fleet.crash(node),
+            1 => fleet.crash(replica),
+            2 | 3 => (0..SIZE)
+                .filter(|n| fleet.member(*n).is_none())
+                .collect::<Vec<_>>()
+                .into_iter()
+                .for_each(|n| fleet.start(n)),
+            4 => {
+                (0..SIZE)
+                    .for_each(|other| fleet.group(other, u32::from((other + usize::from(*who)) % 3 == 0)));
+                fleet.cut(0, 1);
+            }
+            5 => fleet.heal(),
+            6 | 7 => fleet.set_may_publish(replica, who % 2 == 0),
+            8 => drop(fleet.publish_at(replica, many(100 * n, usize::from(*who)))),
+            _ => drop(fleet.publish_at(replica, one(n))),
+        }
+        fleet.run_for(u64::from(*who) * 3 * MS);
+    }
+    fleet.heal();
+    (0..REPLICAS).for_each(|replica| fleet.set_may_publish(replica, false));
+    for node in all() {
+        if fleet.member(node).is_none() {
+            fleet.start(node);
+        }
+    }
+    fleet.run_for(6 * S);
+    fleet.set_may_publish(0, true);
+    fleet.run_until_true(60 * S, |fleet| fleet.publisher() == Some(0)).expect("a publisher");
+    // What it found of the one before may leave no room at first.
+    let published = (0..100).find_map(|_| {
+        let number = fleet.publish(one(1));
+        fleet.run_for(200 * MS);
+        number
+    });
+    let number = published.expect("room within 20 s");
+    until_all(&mut fleet, &all(), number, 60);
+    assert!(all().iter().all(|node| state(&fleet, *node) == state(&fleet, 0)));
+}
+
+/// Three replicas alone, restarted at any moment with what is on their disks, with leases that hold nothing
+/// back: what one says that it has stored or promised it must still know in its next life.
+#[test]
+fn three_replicas_restarted_at_any_moment_never_commit_two_contents() {
+    let (mut committed, mut publishers) = (0, 0);
+    for seed in 0..600 {
+        let mut rng = Steps(seed);
+        let scattered = |_: usize, _: usize| (MS, 60 * MS);
+        let alone = Layout { size: REPLICAS, delay: scattered, lag: MS, apply: MS, loss: 0.05, ..layout() };
+        let mut fleet = Fleet::new(alone, seed);
+        fleet.lease_by_hand = true;
+        (0..REPLICAS).for_each(|node| fleet.start(node));
+        for step in 0..150 {
+            let node = rng.below(REPLICAS);
+            match rng.below(8) {
+                0 | 1 => {
+                    fleet.crash(node);
+                    fleet.start(node);
+                }
+                2 | 3 => fleet.set_may_publish(node, true),
+                4 => fleet.set_may_publish(node, false),
+                _ => drop(fleet.publish_at(node, one(step + 1000 * node))),
+            }
+            publishers += usize::from(fleet.publisher().is_some());
+            fleet.run_for((1 + rng.below(50)) as u64 * MS);
+        }
+        committed += fleet.in_force.iter().map(|(_, _, number)| *number).max().unwrap_or(0);
+    }
+    assert!(
+        committed > 3000 && publishers > 10_000,
+        "{committed} numbers, {publishers} steps with a publisher"
+    );
+}
+
+/// Steps drawn from a seed.
+struct Steps(u64);
+
+impl Steps {
+    fn below(&mut self, most: usize) -> usize {
+        self.0 = self.0.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        (self.0 >> 33) as usize % most
+    }
+}
+
+/// The same at length: `cargo test --release -p meadowstream-replication -- --ignored`.
+#[test]
+#[ignore = "some minutes"]
+fn whatever_happens_two_thousand_times() {
+    use proptest::strategy::ValueTree;
+    let mut runner = proptest::test_runner::TestRunner::deterministic();
+    let steps = proptest::collection::vec((any::<u8>(), any::<u8>()), 0..80);
+    for seed in 0..2000 {
+        let tree = steps.new_tree(&mut runner).unwrap();
+        play_chaos(seed, &tree.current());
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 40, failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn whatever_happens_all_come_to_the_same(seed in 0..1000_u64, steps in proptest::collection::vec((any::<u8>(), any::<u8>()), 0..40)) {
+        play_chaos(seed, &steps);
+    }
+}
