--- a/crates/options/src/lib.rs
+++ b/crates/options/src/lib.rs
@@ -2,6 +2,8 @@
 //! settings stay what they are; this file holds what the platform does not know, and all of it is optional.
 //! Every fault is named with its line and element. Times are given in milliseconds.
 
+pub mod replication;
+
 use anyhow::{Context, Result, anyhow, bail, ensure};
 use meadowstream_fair::{NamedTenant, Settings};
 use meadowstream_rollout::plan::{OnWorse, Plan, Size, Stage, Thresholds};
@@ -137,6 +139,8 @@
     pub rollout: Option<Rollout>,
     pub tenants: Option<Tenants>,
     pub tokens: Option<Tokens>,
+    /// Off where absent; goes with `membership`.
+    pub replication: Option<replication::Replication>,
     /// Off where absent.
     pub membership: Option<Membership>,
     /// Off where absent; goes with `membership`.
@@ -358,6 +362,7 @@
                 "tenants" => options.tenants = Some(tenants(&document, node)?),
                 "tokens" => options.tokens = Some(tokens(&document, node)?),
                 "membership" => options.membership = Some(membership(&document, node)?),
+                "replication" => options.replication = Some(replication::replication(&document, node)?),
                 "rollout" => options.rollout = Some(rollout(&document, node)?),
                 "control" => {
                     let control = Element::new(&document, node, &["reference"])?;
@@ -383,11 +388,16 @@
             options.rollout.is_none() || options.membership.is_some(),
             "<rollout>: goes with <membership>, which is absent"
         );
+        ensure!(
+            options.replication.is_none() || options.membership.is_some(),
+            "<replication>: goes with <membership>, which is absent"
+        );
         Ok(options)
     }
 }
 
-const CHILDREN: &[&str] = &["tenants", "tokens", "calls", "membership", "shared-state", "rollout", "control"];
+const CHILDREN: &[&str] =
+    &["tenants", "tokens", "calls", "membership", "shared-state", "rollout", "replication", "control"];
 
 /// The attributes of `<rollout>`, each read below.
 pub const ROLLOUT: &[&str] = &["candidate", "program", "servers", "lease-ms"];
--- a/crates/options/tests/options.rs
+++ b/crates/options/tests/options.rs
@@ -82,7 +82,7 @@
         let nodes = schema.descendants().filter(|node| node.tag_name().name() == tag);
         nodes.filter_map(|node| Some(node.attribute("name")?.to_string())).collect()
     };
-    let source = include_str!("../src/lib.rs");
+    let source = concat!(include_str!("../src/lib.rs"), include_str!("../src/replication.rs"));
     for name in named("attribute").union(&named("element")) {
         assert!(source.contains(&format!("\"{name}\"")), "{name} is in the schema alone");
     }
@@ -99,6 +99,8 @@
         .chain(meadowstream_options::BUDGET)
         .chain(meadowstream_options::TIER)
         .chain(meadowstream_options::ROLLOUT)
+        .chain(meadowstream_options::replication::REPLICATION)
+        .chain(meadowstream_options::replication::CHANGE)
         .chain(meadowstream_options::PLAN)
         .chain(meadowstream_options::STAGE)
         .chain(&["reference"])
--- a/crates/replication/src/member.rs
+++ b/crates/replication/src/member.rs
@@ -11,7 +11,7 @@
 use crate::replica::{NotPublished, Replica, Saved};
 use crate::revision::{Change, Entry, Revision};
 use crate::state::{KEY_MAX, Text};
-use crate::status::Status;
+use crate::status::{Status, Waiting};
 use crate::transfer::{Step, Transfer};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
@@ -219,6 +219,22 @@
         self.control.as_ref().map(|control| &control.status)
     }
 
+    /// On a control machine: how many members take part, this one not counted.
+    pub fn members(&self) -> usize {
+        self.members_but(&self.me)
+    }
+
+    pub(crate) fn members_but(&self, name: &str) -> usize {
+        let others = self.peers.others().filter(|other| *other != name);
+        self.status().map_or(0, |status| status.count(others))
+    }
+
+    /// On a control machine: those members that do not go by the newest revision, as far as they have reported.
+    pub fn waiting(&self) -> Vec<Waiting> {
+        let number = self.history.complete().revision.at.number;
+        self.status().map_or(Vec::new(), |status| status.waiting(self.peers.others(), number))
+    }
+
     pub fn peers(&self) -> &Peers {
         &self.peers
     }
@@ -311,7 +327,7 @@
             let peers = &self.peers;
             control.status.retain(|name| peers.is_alive(name));
             let number = self.history.complete().revision.at.number;
-            let asked = control.status.to_ask(peers.alive().iter(), number, now);
+            let asked = control.status.to_ask(peers.others(), number, now);
             asked.into_iter().for_each(|name| self.send(&name, &Message::AskReport, now));
         }
         self.settle(now);
@@ -382,11 +398,7 @@
     }
 
     fn push_in_zone(&mut self, entries: &[Entry], now: Nanos) {
-        let zone = self.settings.location.clone();
-        let mut to: Vec<String> =
-            (0..PUSHED_TO).filter_map(|_| self.peers.one_of(&zone, &mut self.rng)).collect();
-        to.sort_unstable();
-        to.dedup();
+        let to = self.peers.some_of(&self.settings.location, PUSHED_TO, &mut self.rng);
         self.push(&to, entries, now);
     }
 
@@ -395,7 +407,7 @@
         let anywhere = self.rng.next_u64().is_multiple_of(PULL_ANYWHERE);
         let near = match anywhere {
             true => None,
-            false => self.peers.one_of(&self.settings.location, &mut self.rng),
+            false => self.peers.some_of(&self.settings.location, 1, &mut self.rng).pop(),
         };
         near.or_else(|| self.peers.any(&mut self.rng))
     }
--- a/crates/replication/src/operator.rs
+++ b/crates/replication/src/operator.rs
@@ -5,13 +5,12 @@
 use crate::member::Member;
 use crate::message::{BODY_MAX, Message, Ticket};
 use crate::replica::NotPublished;
-use crate::revision::{Change, Entry};
+use crate::revision::{Change, Entry, PARTS_MAX};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
-/// Tickets whose outcome is remembered, changes that may be put together at once, and parts of one change.
+/// Tickets whose outcome is remembered, and changes that may be put together at once.
 const ANSWERED_MAX: usize = 256;
 const PARTS_UNDER_WAY_MAX: usize = 16;
-pub const PARTS_MAX: u32 = 96;
 /// Names that one status tells.
 const WAITING_TOLD: usize = 8;
 /// Longest part of a reason that a status tells.
@@ -164,11 +163,11 @@
     }
 
     fn tell_status(&mut self, to: &str, ticket: Ticket, now: Nanos) {
-        let Some(control) = &self.control else { return };
         let number = self.history.complete().revision.at.number;
-        let members = self.peers.alive().iter().filter(|name| **name != ticket.from).count();
-        let waiting =
-            control.status.waiting(self.peers.alive().iter().filter(|name| **name != ticket.from), number);
+        // Whoever asks is no server.
+        let members = self.members_but(to);
+        let mut waiting = self.waiting();
+        waiting.retain(|one| one.name != to);
         let told = waiting.iter().take(WAITING_TOLD).map(|one| {
             let why = one
                 .refused
--- a/crates/replication/src/peers.rs
+++ b/crates/replication/src/peers.rs
@@ -71,12 +71,22 @@
         self.known.len()
     }
 
-    /// One of the living in a zone, if any is known there.
-    pub fn one_of(&self, zone: &Location, rng: &mut ChaCha8Rng) -> Option<String> {
-        let members = self.zones.get(zone)?;
+    /// The living but for this one.
+    pub fn others(&self) -> impl Iterator<Item = &String> {
+        self.alive.iter().filter(|name| **name != self.me)
+    }
+
+    /// So many different ones of the living in a zone, as far as they are known there.
+    pub fn some_of(&self, zone: &Location, count: usize, rng: &mut ChaCha8Rng) -> Vec<String> {
+        let members = self.zones.get(zone).into_iter().flatten();
         let living = |name: &&String| **name != self.me && self.is_alive(name);
-        let living: Vec<&String> = members.iter().filter(living).collect();
-        pick(&living, rng).map(|name| (*name).clone())
+        let mut living: Vec<&String> = members.filter(living).collect();
+        let mut some = Vec::new();
+        while some.len() < count && !living.is_empty() {
+            let place = (rng.next_u64() % living.len() as u64) as usize;
+            some.push(living.swap_remove(place).clone());
+        }
+        some
     }
 
     /// One of all the living; none where this one itself was drawn.
@@ -86,14 +96,7 @@
 
     /// So many of each zone that is known.
     pub fn some_of_each_zone(&self, each: usize, rng: &mut ChaCha8Rng) -> Vec<String> {
-        let zones: Vec<Location> = self.zones.keys().cloned().collect();
-        let mut some: Vec<String> = zones
-            .iter()
-            .flat_map(|zone| (0..each).filter_map(|_| self.one_of(zone, rng)).collect::<Vec<_>>())
-            .collect();
-        some.sort_unstable();
-        some.dedup();
-        some
+        self.zones.keys().flat_map(|zone| self.some_of(zone, each, rng)).collect()
     }
 }
 
--- a/crates/replication/src/revision.rs
+++ b/crates/replication/src/revision.rs
@@ -3,6 +3,8 @@
 use crate::state::{ContentHash, KEY_MAX, VALUE_MAX};
 use serde::{Deserialize, Serialize};
 
+/// Entries of one change at the most.
+pub const PARTS_MAX: u32 = 96;
 /// Longest encoded entry, in bytes: one datagram carries it. A change that takes more is published as several
 /// entries, of which all but the last are partial.
 pub const ENTRY_MAX: usize = 900;
--- a/crates/replication/src/status.rs
+++ b/crates/replication/src/status.rs
@@ -1,4 +1,6 @@
-//! Who goes by which revision, as members report it to a replica, and whom the publisher still waits for.
+//! Who goes by which revision, as members report it to a replica, and whom the publisher still waits for. A
+//! member of the fleet that has not reported is asked; one that does not answer takes no part: a server of an
+//! older release, or an operator's command.
 
 use crate::Nanos;
 use crate::message::Report;
@@ -6,19 +8,36 @@
 
 /// A member that has not come to the newest revision is asked again after so long.
 const ASK_AGAIN: Nanos = 2_000_000_000;
+/// One that takes no part is asked again after so long: it may have been started anew.
+const ASK_SILENT_AGAIN: Nanos = 60_000_000_000;
+/// Questions without an answer after which a member takes no part.
+const SILENT_AFTER: u32 = 3;
 /// Members asked at once at the most.
 const ASKED_AT_ONCE: usize = 32;
 
-#[derive(Clone, Debug)]
-struct Reported {
-    report: Report,
+#[derive(Clone, Debug, Default)]
+struct Known {
+    report: Option<Report>,
     asked: Nanos,
+    /// Questions since it was last heard.
+    unanswered: u32,
+}
+
+impl Known {
+    fn is_silent(&self) -> bool {
+        self.report.is_none() && self.unanswered >= SILENT_AFTER
+    }
+
+    fn may_be_asked(&self, now: Nanos) -> bool {
+        let wait = if self.is_silent() { ASK_SILENT_AGAIN } else { ASK_AGAIN };
+        self.unanswered == 0 || now >= self.asked + wait
+    }
 }
 
 #[derive(Debug, Default)]
 pub struct Status {
-    members: BTreeMap<String, Reported>,
-    /// Since when each revision that some lack has been committed.
+    members: BTreeMap<String, Known>,
+    /// When each of the last revisions was committed.
     committed: BTreeMap<u64, Nanos>,
 }
 
@@ -26,7 +45,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Waiting {
     pub name: String,
-    /// What it goes by; `None` where it has never reported.
+    /// What it goes by; `None` where it has not reported yet.
     pub in_force: Option<u64>,
     /// Since when the oldest revision that it lacks has been committed here.
     pub since: Nanos,
@@ -38,8 +57,8 @@
 
 impl Status {
     pub fn heard(&mut self, name: &str, report: Report) {
-        let asked = self.members.get(name).map_or(0, |known| known.asked);
-        self.members.insert(name.to_string(), Reported { report, asked });
+        let known = self.members.entry(name.to_string()).or_default();
+        (known.report, known.unanswered) = (Some(report), 0);
     }
 
     pub fn committed(&mut self, number: u64, now: Nanos) {
@@ -54,25 +73,33 @@
         self.members.retain(|name, _| alive(name));
     }
 
-    pub fn in_force(&self, name: &str) -> Option<u64> {
-        self.members.get(name).map(|known| known.report.in_force)
+    fn takes_part(&self, name: &str) -> bool {
+        self.members.get(name).is_none_or(|known| !known.is_silent())
     }
 
-    /// Those of the living that do not go by `number`.
+    /// How many of the living take part, or may.
+    pub fn count<'a>(&self, alive: impl Iterator<Item = &'a String>) -> usize {
+        alive.filter(|name| self.takes_part(name)).count()
+    }
+
+    /// Those of the living that take part and do not go by `number`.
     pub fn waiting<'a>(&self, alive: impl Iterator<Item = &'a String>, number: u64) -> Vec<Waiting> {
-        let lacks = |name: &&String| self.in_force(name).is_none_or(|in_force| in_force < number);
-        let waiting = |name: &String| {
-            let known = self.members.get(name);
-            let in_force = known.map(|known| known.report.in_force);
-            let first = self.committed.range(in_force.unwrap_or(0) + 1..).next();
-            Waiting {
-                name: name.clone(),
-                in_force,
-                since: first.map_or(0, |(_, at)| *at),
-                refused: known.and_then(|known| known.report.refused.clone()),
-            }
-        };
-        alive.filter(lacks).map(waiting).collect()
+        alive.filter(|name| self.takes_part(name)).filter_map(|name| self.lacks(name, number)).collect()
+    }
+
+    fn lacks(&self, name: &str, number: u64) -> Option<Waiting> {
+        let report = self.members.get(name).and_then(|known| known.report.as_ref());
+        let in_force = report.map(|report| report.in_force);
+        if in_force.is_some_and(|in_force| in_force >= number) {
+            return None;
+        }
+        let first = self.committed.range(in_force.unwrap_or(0) + 1..).next();
+        Some(Waiting {
+            name: name.to_string(),
+            in_force,
+            since: first.map_or(0, |(_, at)| *at),
+            refused: report.and_then(|report| report.refused.clone()),
+        })
     }
 
     /// Those to be asked for a report now.
@@ -82,27 +109,20 @@
         number: u64,
         now: Nanos,
     ) -> Vec<String> {
-        let lacking: Vec<String> = self.waiting(alive, number).into_iter().map(|one| one.name).collect();
         let mut asked = Vec::new();
-        for name in lacking {
-            let known = self.members.get_mut(&name);
-            if known.as_ref().is_some_and(|known| now < known.asked + ASK_AGAIN) {
-                continue;
-            }
-            match known {
-                Some(known) => known.asked = now,
-                // Never heard of: asked in turn, as the others are, since nothing is kept for it yet.
-                None if !(now / ASK_AGAIN + u64::from(name.as_bytes().last().copied().unwrap_or(0)))
-                    .is_multiple_of(2) =>
-                {
-                    continue;
-                }
-                None => {}
-            }
-            asked.push(name);
+        for name in alive {
             if asked.len() == ASKED_AT_ONCE {
                 break;
             }
+            if self.lacks(name, number).is_none() {
+                continue;
+            }
+            let known = self.members.entry(name.clone()).or_default();
+            if known.may_be_asked(now) {
+                known.asked = now;
+                known.unanswered = known.unanswered.saturating_add(1);
+                asked.push(name.clone());
+            }
         }
         asked
     }
--- a/crates/replication/tests/fleet.rs
+++ b/crates/replication/tests/fleet.rs
@@ -77,13 +77,41 @@
     let publisher = fleet.publisher().unwrap();
     let waiting = |fleet: &Fleet| {
         let member = fleet.member(publisher).unwrap();
-        member.status().unwrap().waiting(member.peers().alive().iter(), number)
+        member.waiting()
     };
     fleet
         .run_until_true(5 * S, |fleet| waiting(fleet).is_empty())
         .expect("the publisher hears that all go by it");
 }
 
+/// Pushes reach nearly all at once; pulls, here far between, are for those that they miss.
+#[test]
+fn pushes_carry_a_change_and_pulls_mend_what_they_miss() {
+    let mut fleet = settled(Layout { pull_period: 2 * S, ..layout() }, 15);
+    fleet.run_for(30 * S);
+    let number = fleet.publish(one(1)).unwrap();
+    fleet.run_for(400 * MS);
+    let reached = all().into_iter().filter(|node| fleet.all_go_by(&[*node], number)).count();
+    assert!(reached * 10 >= SIZE * 8, "{reached} of {SIZE}");
+    let took = until_all(&mut fleet, &all(), number, 20);
+    assert!(took <= 8.0, "{took} s");
+}
+
+/// Many that ask at once get no more than the bytes of a second, and the rest when they ask again.
+#[test]
+fn questions_beyond_the_budget_are_not_answered() {
+    let mut fleet = settled(layout(), 16);
+    let number = fleet.publish(many(0, 1000)).unwrap();
+    until_all(&mut fleet, &all(), number, 20);
+    let before = fleet.member(20).unwrap().counts;
+    let asks = Message::Have { number: 0, fresh: Default::default(), location: location(2), asks: true };
+    (0..500).for_each(|_| fleet.inject(20, 2, asks.encode()));
+    fleet.run_for(S);
+    let after = fleet.member(20).unwrap().counts;
+    assert!(after.sent_bytes - before.sent_bytes <= 24_000, "{} bytes", after.sent_bytes - before.sent_bytes);
+    assert!(after.over_budget - before.over_budget > 100);
+}
+
 /// Lost, doubled, late and in another order: nothing is lost for good, and nothing comes twice.
 #[test]
 fn a_bad_network_delays_a_change_and_no_more() {
@@ -265,7 +293,7 @@
     assert_eq!(fleet.member(12).unwrap().in_force(), first);
     let publisher = fleet.publisher().unwrap();
     let member = fleet.member(publisher).unwrap();
-    let waiting = member.status().unwrap().waiting(member.peers().alive().iter(), second);
+    let waiting = member.waiting();
     assert_eq!(waiting.len(), 1, "{waiting:?}");
     assert_eq!((waiting[0].name.as_str(), waiting[0].in_force), ("s12", Some(first)));
     assert_eq!(waiting[0].refused, Some((second, "the disk is full".to_string())));
@@ -310,7 +338,7 @@
     until_all(&mut fleet, &rest, second, 10);
     fleet.run_for(3 * S);
     let member = fleet.member(fleet.publisher().unwrap()).unwrap();
-    let waiting = member.status().unwrap().waiting(member.peers().alive().iter(), second);
+    let waiting = member.waiting();
     let names: Vec<&str> = waiting.iter().map(|one| one.name.as_str()).collect();
     assert_eq!(names, ["s17", "s26", "s8"]);
     assert!(
@@ -375,11 +403,19 @@
     let begun =
         |fleet: &Fleet| fleet.member(late).and_then(Member::transferred).is_some_and(|pairs| pairs > 500);
     fleet.run_until_true(60 * S, begun).expect("it fetches a checkpoint");
+    let had = fleet.member(late).and_then(Member::transferred).unwrap();
     // All but a few of its zone and half of the others die.
     for node in (REPLICAS..late).filter(|node| node % 6 == late % 6 || node % 2 == 0) {
         fleet.crash(node);
     }
-    let took = until_all(&mut fleet, &[late], number, 120);
+    let mut last = had;
+    let rises = |fleet: &Fleet| {
+        let pairs = fleet.member(late).and_then(Member::transferred).unwrap_or(last);
+        assert!(pairs >= last, "what had come is kept");
+        last = pairs;
+        fleet.all_go_by(&[late], number)
+    };
+    let took = fleet.run_until_true(120 * S, rises).expect("it comes up") as f64 / S as f64;
     assert_eq!(fleet.member(late).unwrap().counts.transfers, 1, "it did not begin anew");
     assert_eq!(state(&fleet, late), state(&fleet, 1));
     println!("{} keys after {took} s", state(&fleet, late).len());
@@ -456,6 +492,7 @@
                 }
                 2 | 3 => fleet.set_may_publish(node, true),
                 4 => fleet.set_may_publish(node, false),
+                5 => drop(fleet.publish_at(node, many(100 * step, 28))),
                 _ => drop(fleet.publish_at(node, one(step + 1000 * node))),
             }
             publishers += usize::from(fleet.publisher().is_some());
--- /dev/null
+++ b/crates/replication/tests/store.rs
@@ -0,0 +1,46 @@
+//! Files that cannot be gone by are told apart from good ones, with the reason.
+
+use meadowstream_replication::history::Snapshot;
+use meadowstream_replication::replica::Saved;
+use meadowstream_replication::revision::{Position, Revision};
+use meadowstream_replication::state::State;
+use meadowstream_replication::store::{Fault, decode, encode};
+
+fn saved() -> Saved {
+    let mut state = State::default();
+    (0..100).for_each(|n| state.set(&format!("tenants/tenant/t{n}"), "2"));
+    let at = Position { epoch: 3, number: 7 };
+    let revision = Revision { at, hash: state.hash() };
+    Saved { promised: 3, committed: Snapshot { revision, state }, entries: Vec::new() }
+}
+
+#[test]
+fn what_was_written_is_read() {
+    assert_eq!(decode(&encode(&saved())), Ok(saved()));
+}
+
+#[test]
+fn every_cut_and_every_changed_byte_is_found() {
+    let bytes = encode(&saved());
+    (0..bytes.len()).for_each(|len| assert!(decode(&bytes[..len]).is_err(), "cut to {len}"));
+    for at in 0..bytes.len() {
+        let mut changed = bytes.clone();
+        changed[at] ^= 1;
+        assert!(decode(&changed).is_err(), "byte {at}");
+    }
+}
+
+#[test]
+fn the_reason_is_told() {
+    let bytes = encode(&saved());
+    assert_eq!(decode(b"something else"), Err(Fault::Version));
+    assert_eq!(decode(&bytes[..bytes.len() - 1]), Err(Fault::Length));
+    let longer = [&bytes[..], &[0]].concat();
+    assert_eq!(decode(&longer), Err(Fault::Length));
+    let mut changed = bytes.clone();
+    *changed.last_mut().unwrap() ^= 1;
+    assert_eq!(decode(&changed), Err(Fault::Checksum));
+    let mut strange = saved();
+    strange.committed.revision.hash = State::default().hash();
+    assert_eq!(decode(&encode(&strange)), Err(Fault::Content));
+}
--- a/crates/server/src/lifecycle/configuration.rs
+++ b/crates/server/src/lifecycle/configuration.rs
@@ -1,10 +1,14 @@
 //! What the server is told at its start, from one JSON file, and what of it a reload changes.
 
+use super::tasks::replication::read_file;
 use crate::memory::repeats::ENTRY_BYTES;
-use crate::memory::shared::ROLLOUTS;
+use crate::memory::shared::{LEASES, PUBLISHING, ROLLOUTS};
 use anyhow::{Context, Result, anyhow, bail, ensure};
 use meadowstream::{Advert, Below, Effect};
+use meadowstream_options::replication::overlay_replicated;
 use meadowstream_options::{Options, Tokens};
+use meadowstream_replication::history::Snapshot;
+use meadowstream_replication::state::State;
 use meadowstream_settings::Read;
 use meadowstream_shared_state::Settings as SharedSettings;
 use meadowstream_shared_state::budget::Plan;
@@ -60,6 +64,8 @@
     pub reference: Cell<f64>,
     /// The settings of a change that this server may be told to go by, where the options name them.
     pub candidate: RefCell<Option<Candidate>>,
+    /// The revision of replicated configuration that lies over the options, where one is in force.
+    pub replicated: RefCell<Option<Snapshot>>,
     /// The fleet's view, where `<membership>` is in the options; off otherwise.
     pub membership: Option<Fleet>,
 }
@@ -93,6 +99,14 @@
     pub program_mark: PathBuf,
 }
 
+/// What lies over a server's own options file, the later over the earlier.
+#[derive(Clone, Copy, Default)]
+pub struct Layers<'a> {
+    /// The file of a change by stages.
+    pub change: Option<&'a Path>,
+    pub replicated: Option<&'a State>,
+}
+
 /// What settings are known by: the first eight bytes of the SHA-256 of their file.
 pub fn hash_of(bytes: &[u8]) -> u64 {
     let hash = Sha256::digest(bytes);
@@ -131,21 +145,26 @@
 /// What the options say is shared; `None` where they name nothing.
 pub fn shared(options: &Options, body_max: usize) -> Result<Option<SharedSettings>> {
     let (given, rollout) = (options.shared_state.as_ref(), options.rollout.as_ref());
-    if given.is_none() && rollout.is_none() {
+    let replication = options.replication.as_ref();
+    if given.is_none() && rollout.is_none() && replication.is_none() {
         return Ok(None);
     }
     let plan = |b: &meadowstream_options::Budget| {
         Plan::new(&b.name, b.total, b.floor, b.servers, b.voters.clone(), b.lease, b.use_most)
     };
     let of_calls = given.and_then(|given| given.budget.as_ref());
-    let named = of_calls.is_none_or(|budget| budget.name != ROLLOUTS);
-    ensure!(named, "<shared-state>: budget: name: {ROLLOUTS:?} is that of the lease on rollouts");
+    let lease = of_calls.filter(|budget| LEASES.contains(&budget.name.as_str()));
+    ensure!(lease.is_none(), "<shared-state>: budget: name: one of {LEASES:?} is that of a lease");
     let of_rollouts = rollout.map(|rollout| {
         let (servers, voters) = (rollout.servers, rollout.voters.clone());
         Plan::new(ROLLOUTS, 1, 0, servers, voters, rollout.lease, 1)
     });
+    let of_publishing = replication.map(|given| {
+        let (servers, voters) = (given.replicas.len() as u64, given.replicas.clone());
+        Plan::new(PUBLISHING, 1, 0, servers, voters, given.lease, 1)
+    });
     let settings = SharedSettings {
-        budgets: of_calls.map(plan).into_iter().chain(of_rollouts).collect(),
+        budgets: of_calls.map(plan).into_iter().chain(of_rollouts).chain(of_publishing).collect(),
         counts: Limits::default(),
         judge: given.and_then(|given| given.tier.as_ref()).map(|tier| JudgeSettings {
             services: tier.services.iter().map(|(name, _)| name.clone()).collect(),
@@ -157,7 +176,12 @@
         body_max,
     };
     settings.check().map_err(|fault| {
-        anyhow!("{}: {fault}", if given.is_some() { "<shared-state>" } else { "<rollout>" })
+        let element = match (given, rollout) {
+            (Some(_), _) => "<shared-state>",
+            (None, Some(_)) => "<rollout>",
+            (None, None) => "<replication>",
+        };
+        anyhow!("{element}: {fault}")
     })?;
     Ok(Some(settings))
 }
@@ -186,17 +210,63 @@
 }
 
 impl Configuration {
-    /// As the server starts: by the settings of a change where it went by them before, and they are still
-    /// the same. Where they cannot be used it starts by its own.
+    /// As the server starts: by the last good revision of replicated configuration, if there is one on its disk.
+    /// Where it cannot be used it starts without.
     pub fn load_standing(path: &Path, options: Option<&Path>) -> Result<Self> {
-        let own = Self::load(path, options, None)?;
+        let own = Self::load_adopted(path, options)?;
+        let Some((file, options_path)) = own.replication_file().zip(options) else { return Ok(own) };
+        let started = match read_file(&file) {
+            Ok(None) => return Ok(own),
+            Ok(Some(saved)) => own.over(path, options_path, saved.committed),
+            Err(error) => Err(error),
+        };
+        let written = std::fs::metadata(&file).and_then(|meta| meta.modified()).ok();
+        let written_s = written.and_then(|at| at.elapsed().ok()).map_or(0, |age| age.as_secs());
+        match started {
+            Ok(started) => {
+                let number = started.replicated.borrow().as_ref().map_or(0, |one| one.revision.at.number);
+                tracing::info!(target: "fleet", number, written_s, "starts by the configuration on its disk");
+                Ok(started)
+            }
+            Err(error) => {
+                let why = format!("{error:#}");
+                tracing::warn!(target: "fleet", why, "starts without the configuration on its disk");
+                Ok(own)
+            }
+        }
+    }
+
+    /// Where the last good revision is kept.
+    pub fn replication_file(&self) -> Option<PathBuf> {
+        let options = self.options.borrow();
+        let folder = self.options_path.as_deref()?.parent().unwrap_or(Path::new("."));
+        options.replication.as_ref().map(|given| folder.join(&given.file))
+    }
+
+    /// The same with a revision of replicated configuration over it.
+    fn over(&self, path: &Path, options: &Path, snapshot: Snapshot) -> Result<Self> {
+        let candidate = self.candidate.borrow().clone();
+        let adopted = candidate.as_ref().filter(|candidate| candidate.adopted.is_some());
+        let change = adopted.map(|candidate| candidate.path.clone());
+        let layers = Layers { change: change.as_deref(), replicated: Some(&snapshot.state) };
+        let over = Self::load(path, Some(options), layers)?;
+        *over.candidate.borrow_mut() = candidate;
+        *over.replicated.borrow_mut() = Some(snapshot);
+        Ok(over)
+    }
+
+    /// By the settings of a change by stages where it went by them before, and they are still the same. Where
+    /// they cannot be used it starts by its own.
+    fn load_adopted(path: &Path, options: Option<&Path>) -> Result<Self> {
+        let own = Self::load(path, options, Layers::default())?;
         let candidate = own.candidate.borrow().clone();
         let Some(candidate) = candidate else { return Ok(own) };
         let Ok(mark) = std::fs::read_to_string(&candidate.mark) else { return Ok(own) };
         let adopted = u64::from_str_radix(mark.trim(), 16).ok();
         let same = |bytes: &Vec<u8>| Some(hash_of(bytes)) == adopted;
         let found = std::fs::read(&candidate.path).ok().filter(same);
-        let changed = found.map(|_| Self::load(path, options, Some(&candidate.path)));
+        let layers = Layers { change: Some(&candidate.path), replicated: None };
+        let changed = found.map(|_| Self::load(path, options, layers));
         match changed {
             Some(Ok(changed)) => {
                 *changed.candidate.borrow_mut() = Some(Candidate { adopted, ..candidate });
@@ -211,15 +281,18 @@
         }
     }
 
-    pub fn load(path: &Path, options: Option<&Path>, change: Option<&Path>) -> Result<Self> {
+    pub fn load(path: &Path, options: Option<&Path>, layers: Layers) -> Result<Self> {
         let text =
             std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
         let mut read = Self::read(&text, path)?;
         if let Some(path) = options {
             let mut options = Options::load(path)?;
-            if let Some(change) = change {
+            if let Some(change) = layers.change {
                 options.overlay(read_change(change)?);
             }
+            if let Some(state) = layers.replicated {
+                overlay_replicated(&mut options, state.iter()).context("replicated configuration")?;
+            }
             read.reference.set(options.reference.unwrap_or(meadowstream::REFERENCE));
             let folder = path.parent().unwrap_or(Path::new("."));
             if let Some(rollout) = &options.rollout {
@@ -294,6 +367,7 @@
             options_path: None,
             reference: Cell::new(meadowstream::REFERENCE),
             candidate: RefCell::default(),
+            replicated: RefCell::default(),
             membership: None,
         };
         Ok(configuration)
--- /dev/null
+++ b/crates/server/src/lifecycle/control.rs
@@ -0,0 +1,143 @@
+//! `meadowstream control`: a machine set aside for control. It is a member of the fleet that serves nothing,
+//! keeps the log of configuration with the other control machines, and publishes while it holds the lease.
+
+use super::configuration::{self, Fleet};
+use super::files;
+use super::joined::Joined;
+use super::tasks::replication::{read_file, settings};
+use crate::memory::shared::PUBLISHING;
+use anyhow::{Context, Result, anyhow, ensure};
+use async_signal::{Signal, Signals};
+use futures_lite::{StreamExt, future};
+use meadowstream_options::Options;
+use meadowstream_options::replication::Replication as Given;
+use meadowstream_replication::member::Member;
+use meadowstream_replication::store;
+use meadowstream_shared_state::REPLICATION;
+use std::path::{Path, PathBuf};
+use tracing::{info, warn};
+
+/// After a write that failed it is tried again this much later, without the lease until then.
+const WRITE_PAUSE: u64 = 1_000_000_000;
+/// Longest wait of one turn, so that the lease is looked at.
+const TURN: u64 = 100_000_000;
+const SHOWN_EVERY: u64 = 10_000_000_000;
+
+/// What a fleet member that serves nothing reads of an options file.
+pub struct Read {
+    pub fleet: Fleet,
+    pub replication: Given,
+    /// Where the log is kept.
+    pub file: PathBuf,
+}
+
+/// `name` is the member's, where it is not that of the options.
+pub fn read(path: &Path, name: Option<&str>) -> Result<Read> {
+    let shown = path.display();
+    let options = Options::load(path)?;
+    let replication =
+        options.replication.clone().with_context(|| format!("{shown}: <replication> is missing"))?;
+    let own = options.membership.as_ref().with_context(|| format!("{shown}: <membership> is missing"))?;
+    let mut fleet = configuration::fleet(own, name.unwrap_or(""), path)?;
+    if let Some(name) = name {
+        fleet.name = name.to_string();
+    }
+    ensure!(!fleet.name.is_empty(), "{shown}: <membership>: name is missing");
+    let alone = Options { shared_state: None, rollout: None, ..options };
+    fleet.shared = configuration::shared(&alone, fleet.settings.packet_max)?;
+    settings(&replication).check().map_err(|fault| anyhow!("{shown}: <replication>: {fault}"))?;
+    let file = path.parent().unwrap_or(Path::new(".")).join(&replication.file);
+    Ok(Read { fleet, replication, file })
+}
+
+/// Runs until SIGTERM or SIGINT.
+pub fn run(options: &Path) -> Result<()> {
+    let read = read(options, None)?;
+    let is_replica = read.replication.replicas.contains(&read.fleet.name);
+    ensure!(is_replica, "<replication>: {:?} is no <replica>: servers take part by `serve`", read.fleet.name);
+    async_io::block_on(keep(read))
+}
+
+struct Control {
+    member: Member,
+    file: PathBuf,
+    /// Nothing is written before this time, since the last write failed.
+    write_after: u64,
+    shown: (bool, u64, usize),
+    shown_at: u64,
+}
+
+impl Control {
+    /// Writes what is to be on disk; what rests on it goes out only then.
+    fn save(&mut self, now: u64) {
+        while let Some(saved) = self.member.take_save().filter(|_| now >= self.write_after) {
+            if let Err(error) = files::write(&self.file, &store::encode(&saved)) {
+                warn!(target: "fleet", %error, file = %self.file.display(), "cannot write the log: stands back");
+                self.write_after = now + WRITE_PAUSE;
+                self.member.not_saved();
+                return;
+            }
+            self.member.saved(&saved, now);
+        }
+        // Nothing is served here: what is committed is gone by as soon as it is known.
+        if let Some(snapshot) = self.member.take_pending() {
+            self.member.settled(snapshot.revision.at.number, Ok(()), now);
+        }
+    }
+
+    fn show(&mut self, now: u64) {
+        let waiting = self.member.waiting();
+        let publishes = self.member.is_publisher();
+        let number = self.member.revision().at.number;
+        let shown = (publishes, number, waiting.len());
+        if shown == self.shown && now < self.shown_at + SHOWN_EVERY {
+            return;
+        }
+        let members = self.member.members();
+        let told = |one: &meadowstream_replication::status::Waiting| {
+            let lacks_ms = now.saturating_sub(one.since) / 1_000_000;
+            format!("{} goes by {}, lacks {lacks_ms} ms", one.name, one.in_force.unwrap_or(0))
+        };
+        let some: Vec<String> = waiting.iter().take(8).map(told).collect();
+        let counts = serde_json::to_string(&self.member.counts).unwrap_or_default();
+        let waits_for = some.join("; ");
+        info!(target: "fleet", publishes, number, members, waiting = waiting.len(), waits_for, counts, "control");
+        (self.shown, self.shown_at) = (shown, now);
+    }
+}
+
+async fn keep(read: Read) -> Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    // A log that cannot be read must not be begun anew: it may hold what others count on.
+    let disk = read_file(&read.file).context("<replication>: file")?;
+    let mut joined = Joined::join(&read.fleet)?;
+    let (life, name) = (joined.life, read.fleet.name.clone());
+    let member = Member::new(&name, settings(&read.replication), life, life, disk);
+    let member = member.map_err(|fault| anyhow!("<replication>: {fault}"))?;
+    let mut control = Control { member, file: read.file, write_after: 0, shown: (false, 0, 0), shown_at: 0 };
+    loop {
+        let now = joined.now();
+        let may_write = now >= control.write_after;
+        let may_publish = joined.lease(PUBLISHING, may_write);
+        control.member.set_may_publish(may_publish);
+        control.member.advance(now, joined.directory.names());
+        control.save(now);
+        control.show(now);
+        for (to, body) in control.member.outgoing() {
+            joined.send(&to, REPLICATION, body);
+        }
+        let wake = control.member.next_due().clamp(now + 1_000_000, now + TURN);
+        let said = future::or(async { Some(joined.turn(wake).await) }, async {
+            signals.next().await;
+            None
+        });
+        let Some(said) = said.await else { break };
+        let now = joined.now();
+        for one in said.into_iter().filter(|one| one.topic == REPLICATION) {
+            control.member.receive(now, &one.from.name, &one.body);
+        }
+    }
+    joined.leave().await;
+    info!(target: "fleet", member = name, "left the fleet");
+    Ok(())
+}
--- a/crates/server/src/lifecycle/coordinate.rs
+++ b/crates/server/src/lifecycle/coordinate.rs
@@ -2,22 +2,17 @@
 //! serves nothing, holds the lease on rollouts, orders and listens each interval, and keeps its state on
 //! disk.
 
-use super::clock::Clock;
 use super::configuration::{self, Fleet, hash_of};
-use super::tasks::fleet::bind;
-use super::tasks::rollout::write;
+use super::files;
+use super::joined::Joined;
+use crate::memory::shared::ROLLOUTS;
 use anyhow::{Context, Result, anyhow, bail, ensure};
-use async_io::{Async, Timer};
-use futures_lite::future;
-use meadowstream_membership::envelope::DATAGRAM_MAX;
-use meadowstream_membership::{Id, Membership, Standing};
+use meadowstream_membership::{Membership, Standing};
 use meadowstream_options::{Options, PlanFile};
 use meadowstream_rollout::machine::{Act, Coordinator, Phase, Saved, View};
 use meadowstream_rollout::plan::Plan;
 use meadowstream_rollout::wire::{self, Kind};
-use meadowstream_shared_state::clock::Reading;
-use meadowstream_shared_state::{ORDER_REPORTS, ORDERS, SharedState, Who};
-use std::net::UdpSocket;
+use meadowstream_shared_state::{ORDER_REPORTS, ORDERS};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -84,7 +79,7 @@
 pub fn abort(state: &Path) -> Result<()> {
     let saved = read_state(state)?.with_context(|| format!("{}: nothing has begun", state.display()))?;
     ensure!(!saved.phase.is_over(), "the plan has ended already: {}", said(&saved.phase));
-    write(&abort_of(state), "abort\n").context("cannot write")?;
+    files::write(&abort_of(state), b"abort\n").context("cannot write")?;
     println!("the coordinator will roll back; one that does not run does so when it is started again");
     Ok(())
 }
@@ -106,7 +101,7 @@
     let mut fleet = configuration::fleet(own, &name, &given.options)?;
     fleet.name = name;
     // It takes no part in what else is shared.
-    let alone = Options { shared_state: None, ..options };
+    let alone = Options { shared_state: None, replication: None, ..options };
     fleet.shared = configuration::shared(&alone, fleet.settings.packet_max)?;
     Ok((plan, fleet))
 }
@@ -135,42 +130,24 @@
 }
 
 async fn coordinate(given: &Given, plan: Plan, saved: Option<Saved>, fleet: &Fleet) -> Result<Phase> {
-    let clock = Clock::start();
-    let socket = bind(fleet).with_context(|| format!("<membership>: cannot bind {}", fleet.bind))?;
-    let bound = socket.get_ref().local_addr()?;
-    let life = clock.now();
-    let me = Id { name: fleet.name.clone(), addr: fleet.advertise.unwrap_or(bound), incarnation: life };
-    let mut core = Membership::new(me, &fleet.settings, life, clock.now()).map_err(|fault| anyhow!(fault))?;
-    core.join(&fleet.seeds, clock.now());
-    let who = Who { name: fleet.name.clone(), incarnation: life };
-    let settings = fleet.shared.clone().context("<rollout> is missing")?;
-    let reading = || Reading { monotonic: clock.now() - life, wall: clock.now() };
-    let mut shared = SharedState::new(who, settings, life, reading()).map_err(|fault| anyhow!(fault))?;
+    let mut joined = Joined::join(fleet)?;
+    let life = joined.life;
     let (interval, resumes) = (plan.interval, saved.is_some());
-    let mut coordinator = Coordinator::new(plan, saved, life, clock.now()).map_err(|fault| anyhow!(fault))?;
-    let (mut next, mut due) = (clock.now() + interval, clock.now());
-    let mut buffer = vec![0; DATAGRAM_MAX + 1];
-    let say = |what: &str| println!("{:8.1} s  {what}", (clock.now() - life) as f64 / 1e9);
-    say(if resumes { "goes on from its state" } else { "joins the fleet" });
+    let mut coordinator =
+        Coordinator::new(plan, saved, life, joined.now()).map_err(|fault| anyhow!(fault))?;
+    let mut next = joined.now() + interval;
+    let say = |what: &str, now: u64| println!("{:8.1} s  {what}", (now - life) as f64 / 1e9);
+    say(if resumes { "goes on from its state" } else { "joins the fleet" }, joined.now());
     loop {
-        let now = clock.now();
-        if now >= due {
-            due = now + shared.due_in();
-            let view = core.view(now);
-            let alive: Vec<String> =
-                view.iter().filter(|s| s.state == Standing::Alive).map(|s| s.name.clone()).collect();
-            shared.budgets.iter_mut().for_each(|budget| budget.note_use(1, 0));
-            shared.advance(reading(), &alive);
-        }
+        let now = joined.now();
+        let has_lease = joined.lease(ROLLOUTS, true);
         if now >= next {
             next = now + interval;
             if abort_of(&given.state).exists() {
                 let acts = coordinator.abort(now);
-                carry_out(acts, given, &mut shared, &say)?;
+                carry_out(acts, given, &mut joined, &say)?;
                 let _ = std::fs::remove_file(abort_of(&given.state));
             }
-            let time = shared.read(reading());
-            let has_lease = shared.budgets.first().is_some_and(|budget| budget.ceiling(time).leased > 0);
             let fresh = coordinator.saved().phase == Phase::Waiting;
             let waited = Duration::from_nanos(now - life);
             ensure!(
@@ -179,72 +156,36 @@
                 holds it, or no majority of <voter>s is heard",
                 given.wait
             );
-            let acts = coordinator.advance(now, &seen(&mut core, now), has_lease);
-            carry_out(acts, given, &mut shared, &say)?;
-        }
-        let view = core.view(now);
-        for (name, body) in shared.outgoing() {
-            if let Some(to) = view.iter().find(|s| s.name == name && s.state != Standing::Down) {
-                core.carry(to.addr, &body, now);
-            }
-        }
-        if coordinator.saved().phase.is_over() {
-            core.leave(now);
-        }
-        for (to, datagram) in core.outgoing() {
-            let _ = socket.send_to(&datagram, to).await;
+            let acts = coordinator.advance(now, &seen(&mut joined.membership, now), has_lease);
+            carry_out(acts, given, &mut joined, &say)?;
         }
-        core.changes();
         if coordinator.saved().phase.is_over() {
+            // What is still to be said goes out before it leaves.
+            joined.turn(joined.now()).await;
+            joined.leave().await;
             return Ok(coordinator.saved().phase.clone());
         }
-        let wake = core.next_due().unwrap_or(u64::MAX).min(next).min(due);
-        match receive(&socket, &mut buffer, Timer::at(clock.instant(wake))).await {
-            Some((count, from)) => {
-                let now = clock.now();
-                let _ = core.receive(from, &buffer[..count], now);
-                for body in core.carried() {
-                    let _ = shared.receive(reading(), &body);
-                }
-                for (from, topic, body) in shared.others() {
-                    if topic == ORDER_REPORTS
-                        && let Some(report) = wire::decode(&body)
-                    {
-                        coordinator.heard(now, &from.name, report);
-                    }
-                }
-                core.advance(now);
+        for said in joined.turn(next).await.into_iter().filter(|said| said.topic == ORDER_REPORTS) {
+            if let Some(report) = wire::decode(&said.body) {
+                let now = joined.now();
+                coordinator.heard(now, &said.from.name, report);
             }
-            None => core.advance(clock.now()),
         }
     }
 }
 
-async fn receive(
-    socket: &Async<UdpSocket>,
-    buffer: &mut [u8],
-    timer: Timer,
-) -> Option<(usize, std::net::SocketAddr)> {
-    let datagram = async { socket.recv_from(buffer).await.ok() };
-    future::or(datagram, async {
-        timer.await;
-        None
-    })
-    .await
-}
-
 /// Saves before what follows from it is sent; a state that cannot be written ends the coordinator, and the
 /// servers stay as they are until it is started again.
-fn carry_out(acts: Vec<Act>, given: &Given, shared: &mut SharedState, say: &impl Fn(&str)) -> Result<()> {
+fn carry_out(acts: Vec<Act>, given: &Given, joined: &mut Joined, say: &impl Fn(&str, u64)) -> Result<()> {
     for act in acts {
         match act {
             Act::Save(saved) => {
                 let text = serde_json::to_string_pretty(&saved)?;
-                write(&given.state, &text)
+                files::write(&given.state, text.as_bytes())
                     .with_context(|| format!("cannot write {}", given.state.display()))?;
             }
-            Act::Tell(to, order) => shared.send_other(&to, ORDERS, wire::encode(&order)),
-            Act::Say(what) => say(&what),
+            Act::Tell(to, order) => joined.send(&to, ORDERS, wire::encode(&order)),
+            Act::Say(what) => say(&what, joined.now()),
         }
     }
     Ok(())
--- /dev/null
+++ b/crates/server/src/lifecycle/joined.rs
@@ -0,0 +1,142 @@
+//! A process that is a member of the fleet and serves nothing: a coordinator, a control machine, an operator's
+//! command. It has the fleet's view and the shared state, and hands over what else is said to it.
+
+use super::clock::Clock;
+use super::configuration::Fleet;
+use super::tasks::fleet::bind;
+use anyhow::{Context, Result, anyhow};
+use async_io::{Async, Timer};
+use futures_lite::future;
+use meadowstream_membership::directory::Directory;
+use meadowstream_membership::envelope::DATAGRAM_MAX;
+use meadowstream_membership::{Id, Membership};
+use meadowstream_shared_state::clock::Reading;
+use meadowstream_shared_state::{SharedState, Who};
+use std::net::{SocketAddr, UdpSocket};
+
+/// A body of a topic that another member has sent.
+pub struct Said {
+    pub from: Who,
+    pub topic: u16,
+    pub body: Vec<u8>,
+}
+
+pub struct Joined {
+    pub clock: Clock,
+    socket: Async<UdpSocket>,
+    pub membership: Membership,
+    pub shared: SharedState,
+    pub directory: Directory,
+    /// Its start, in Unix nanoseconds.
+    pub life: u64,
+    due: u64,
+    buffer: Vec<u8>,
+}
+
+impl Joined {
+    /// Binds its address and asks the seeds to let it in.
+    pub fn join(fleet: &Fleet) -> Result<Joined> {
+        let clock = Clock::start();
+        let socket = bind(fleet).with_context(|| format!("<membership>: cannot bind {}", fleet.bind))?;
+        let bound = socket.get_ref().local_addr()?;
+        let (life, name) = (clock.now(), fleet.name.clone());
+        let addr = fleet.advertise.unwrap_or(bound);
+        let me = Id { name: name.clone(), addr, incarnation: life };
+        let refused = |fault: String| anyhow!("<membership>: {fault}");
+        let mut membership = Membership::new(me, &fleet.settings, life, life).map_err(refused)?;
+        membership.join(&fleet.seeds, life);
+        let settings = fleet.shared.clone().context("<replication> or <rollout> is missing")?;
+        let who = Who { name: name.clone(), incarnation: life };
+        let reading = Reading { monotonic: 0, wall: life };
+        let shared = SharedState::new(who, settings, life, reading).map_err(|fault| anyhow!(fault))?;
+        tracing::info!(target: "fleet", member = name, %addr, %bound, incarnation = life, "joining");
+        let buffer = vec![0; DATAGRAM_MAX + 1];
+        Ok(Joined {
+            clock,
+            socket,
+            membership,
+            shared,
+            directory: Directory::default(),
+            life,
+            due: life,
+            buffer,
+        })
+    }
+
+    pub fn now(&self) -> u64 {
+        self.clock.now()
+    }
+
+    fn reading(&self) -> Reading {
+        Reading { monotonic: self.now() - self.life, wall: self.now() }
+    }
+
+    /// Says whether it wants the lease of this name, and whether it holds it now.
+    pub fn lease(&mut self, name: &str, wants: bool) -> bool {
+        let time = self.shared.read(self.reading());
+        let lease = self.shared.budgets.iter_mut().find(|budget| budget.plan().name == name);
+        lease.is_some_and(|lease| {
+            lease.note_use(u64::from(wants), 0);
+            wants && lease.ceiling(time).leased > 0
+        })
+    }
+
+    pub fn send(&mut self, to: &str, topic: u16, body: Vec<u8>) {
+        self.shared.send_other(to, topic, body);
+    }
+
+    /// Does what is due, sends what is to be sent, and waits for one datagram or until `wake`; what else was
+    /// said to this process.
+    pub async fn turn(&mut self, wake: u64) -> Vec<Said> {
+        let now = self.now();
+        self.directory.refresh(&self.membership, now);
+        if now >= self.due {
+            self.due = now + self.shared.due_in();
+            let reading = self.reading();
+            self.shared.advance(reading, self.directory.names());
+        }
+        for (name, body) in self.shared.outgoing() {
+            if let Some(to) = self.directory.address(&name) {
+                self.membership.carry(to, &body, now);
+            }
+        }
+        self.flush().await;
+        self.membership.changes();
+        let wake = self.membership.next_due().unwrap_or(u64::MAX).min(self.due).min(wake);
+        let timer = Timer::at(self.clock.instant(wake));
+        let came = receive(&self.socket, &mut self.buffer, timer).await;
+        let now = self.now();
+        if let Some((count, from)) = came {
+            let _ = self.membership.receive(from, &self.buffer[..count], now);
+            let reading = self.reading();
+            for body in self.membership.carried() {
+                let _ = self.shared.receive(reading, &body);
+            }
+        }
+        self.membership.advance(now);
+        let others = self.shared.others().into_iter();
+        others.map(|(from, topic, body)| Said { from, topic, body }).collect()
+    }
+
+    async fn flush(&mut self) {
+        for (to, datagram) in self.membership.outgoing() {
+            let _ = self.socket.send_to(&datagram, to).await;
+        }
+    }
+
+    /// Tells the fleet that it leaves.
+    pub async fn leave(&mut self) {
+        let now = self.now();
+        self.membership.leave(now);
+        self.flush().await;
+    }
+}
+
+async fn receive(socket: &Async<UdpSocket>, buffer: &mut [u8], timer: Timer) -> Option<(usize, SocketAddr)> {
+    let datagram = async { socket.recv_from(buffer).await.ok() };
+    let over = async {
+        timer.await;
+        None
+    };
+    future::or(datagram, over).await
+}
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -2,8 +2,12 @@
 
 pub mod clock;
 pub mod configuration;
+pub mod control;
 pub mod coordinate;
 pub mod drain;
+pub mod files;
+pub mod joined;
+pub mod publish;
 pub mod reload;
 pub mod signals;
 pub mod start;
--- /dev/null
+++ b/crates/server/src/lifecycle/publish.rs
@@ -0,0 +1,189 @@
+//! `meadowstream publish`: an operator's command. It joins the fleet for a moment, hands a change to the publisher,
+//! and says who goes by it; or takes one back; or only asks.
+
+use super::control;
+use super::joined::Joined;
+use anyhow::{Context, Result, bail, ensure};
+use meadowstream_options::replication::load_change;
+use meadowstream_replication::message::{Message, Ticket};
+use meadowstream_replication::revision::{Change, PARTS_MAX, split};
+use meadowstream_shared_state::REPLICATION;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Members of that name are operators' commands.
+const NAMED: &str = "publish-";
+/// A question is repeated after so long without an answer.
+const REPEAT: u64 = 300_000_000;
+
+/// What is asked.
+pub enum Ask {
+    Publish(PathBuf),
+    Revert(u64),
+    Status,
+}
+
+pub struct Given {
+    pub ask: Ask,
+    pub options: PathBuf,
+    /// How long all this may take.
+    pub wait: Duration,
+}
+
+/// Reads all it is given and refuses what cannot be done before the fleet hears of it.
+fn questions(given: &Given, ticket: &Ticket) -> Result<Vec<Message>> {
+    match &given.ask {
+        Ask::Status => Ok(Vec::new()),
+        Ask::Revert(number) => Ok(vec![Message::Revert { ticket: ticket.clone(), number: *number }]),
+        Ask::Publish(file) => {
+            let changes: Vec<Change> =
+                load_change(file)?.into_iter().map(|(key, value)| Change { key, value }).collect();
+            if let Some(fault) = changes.iter().find_map(Change::fault) {
+                bail!("{}: {fault}", file.display());
+            }
+            let parts = split(changes);
+            let count = parts.len() as u32;
+            ensure!(
+                count <= PARTS_MAX,
+                "{}: takes {count} parts, of which a change may have {PARTS_MAX}: publish it in several",
+                file.display()
+            );
+            let submit =
+                |(part, changes)| Message::Submit { ticket: ticket.clone(), part, parts: count, changes };
+            Ok((0..).zip(parts).map(submit).collect())
+        }
+    }
+}
+
+pub fn run(given: &Given) -> Result<()> {
+    let life = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH)?.as_nanos() as u64;
+    let name = format!("{NAMED}{:08x}", (life / 1000) as u32);
+    let read = control::read(&given.options, Some(&name))?;
+    let replicas = read.replication.replicas.clone();
+    let ticket = Ticket { from: name, number: 1 };
+    let questions = questions(given, &ticket)?;
+    let joined = Joined::join(&read.fleet)?;
+    async_io::block_on(ask(joined, questions, ticket, replicas, given.wait))
+}
+
+struct Asking {
+    joined: Joined,
+    replicas: Vec<String>,
+    /// Who is asked; the next one where it is not the publisher.
+    publisher: usize,
+    end: u64,
+}
+
+async fn ask(
+    joined: Joined,
+    questions: Vec<Message>,
+    ticket: Ticket,
+    replicas: Vec<String>,
+    wait: Duration,
+) -> Result<()> {
+    let end = joined.now() + wait.as_nanos() as u64;
+    let mut asking = Asking { joined, replicas, publisher: 0, end };
+    let done = asking.all(questions, ticket).await;
+    asking.joined.leave().await;
+    done
+}
+
+impl Asking {
+    async fn all(&mut self, questions: Vec<Message>, ticket: Ticket) -> Result<()> {
+        let mut wanted = 0;
+        if !questions.is_empty() {
+            let answer = self.answer(&questions, &ticket).await?;
+            let answer =
+                answer.context("no publisher has answered: is a majority of <replica>s reachable?")?;
+            let Message::Submitted { outcome, .. } = answer else { bail!("an answer to another question") };
+            wanted = outcome.map_err(|why| anyhow::anyhow!("refused: {why}"))?;
+            println!("committed as revision {wanted}");
+        }
+        self.until_in_force(ticket, wanted, !questions.is_empty()).await
+    }
+
+    /// Asks until somebody answers or the time is over.
+    async fn answer(&mut self, questions: &[Message], ticket: &Ticket) -> Result<Option<Message>> {
+        let mut next = 0;
+        while self.joined.now() < self.end {
+            let now = self.joined.now();
+            if now >= next {
+                next = now + REPEAT;
+                let to = self.replicas[self.publisher % self.replicas.len()].clone();
+                let known = self.joined.directory.address(&to).is_some();
+                if !known {
+                    self.publisher += 1;
+                }
+                questions.iter().for_each(|question| self.joined.send(&to, REPLICATION, question.encode()));
+            }
+            for said in self.joined.turn(next.min(self.end)).await {
+                let Some(message) = Message::decode(&said.body).filter(|_| said.topic == REPLICATION) else {
+                    continue;
+                };
+                match message {
+                    Message::NotPublisher { ticket: of, publisher } if of == *ticket => {
+                        let named =
+                            publisher.and_then(|name| self.replicas.iter().position(|one| *one == name));
+                        self.publisher = named.unwrap_or(self.publisher + 1);
+                    }
+                    Message::Submitted { ticket: ref of, .. } | Message::Status { ticket: ref of, .. }
+                        if of == ticket =>
+                    {
+                        return Ok(Some(message));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    /// Says who goes by the newest revision; where a change was published, until all do.
+    async fn until_in_force(&mut self, ticket: Ticket, wanted: u64, waits: bool) -> Result<()> {
+        let mut said = String::new();
+        let mut asked = ticket.number;
+        loop {
+            asked += 1;
+            let ticket = Ticket { from: ticket.from.clone(), number: asked };
+            let question = [Message::AskStatus { ticket: ticket.clone() }];
+            let answer = self.answer(&question, &ticket).await?;
+            let Some(Message::Status { number, members, in_force, waiting, .. }) = answer else {
+                bail!("not all go by it yet: {said}");
+            };
+            said = format!("revision {number}: {in_force} of {members} members go by it");
+            let tell = |(name, goes_by, why): &(String, u64, String)| match why.is_empty() {
+                true => format!("{name} goes by {goes_by}"),
+                false => format!("{name} goes by {goes_by} and refused: {why}"),
+            };
+            let lacking: Vec<String> = waiting.iter().map(tell).collect();
+            if !lacking.is_empty() {
+                said.push_str(&format!("; {}", lacking.join(", ")));
+            }
+            let all = in_force == members && number >= wanted;
+            let refused = waiting.iter().any(|(_, _, why)| !why.is_empty());
+            if all || !waits {
+                println!("{said}");
+                return Ok(());
+            }
+            ensure!(!refused || self.joined.now() + REPEAT < self.end, "{said}");
+            let pause = self.joined.now() + REPEAT / 3;
+            self.joined.turn(pause).await;
+        }
+    }
+}
+
+/// The options that a `publish` without `--wait` waits for.
+pub const WAIT_USUAL: Duration = Duration::from_secs(10);
+
+/// Reads `CHANGE`, `revert NUMBER` or `status`.
+pub fn ask_of(words: &[String]) -> Result<Ask> {
+    match words {
+        [word] if word == "status" => Ok(Ask::Status),
+        [word, number] if word == "revert" => {
+            let number = number.parse().with_context(|| format!("revert: {number:?} is no number"))?;
+            Ok(Ask::Revert(number))
+        }
+        [file] => Ok(Ask::Publish(Path::new(file).to_path_buf())),
+        _ => bail!("publish: name the file of a change, or status, or revert NUMBER"),
+    }
+}
--- a/crates/server/src/lifecycle/reload.rs
+++ b/crates/server/src/lifecycle/reload.rs
@@ -3,11 +3,13 @@
 //! so that its pauses do not grow with the files. One change at a time: the files are read after the change
 //! before is in force, so an older reading never follows a newer one.
 
-use super::configuration::{Candidate, Configuration, hash_of};
+use super::configuration::{Candidate, Configuration, Layers, hash_of};
+use super::files;
 use super::tasks::{Input, Server};
 use anyhow::{Context, Result, ensure};
 use meadowstream_fair::Retune;
 use meadowstream_options::{Options, Tenants};
+use meadowstream_replication::history::Snapshot;
 use meadowstream_shared_state::budget::Plan;
 use std::cell::Cell;
 use std::collections::HashSet;
@@ -34,6 +36,9 @@
     options_path: Option<PathBuf>,
     /// The settings of a change by stages and the hash they must have.
     change: Option<(PathBuf, u64)>,
+    replicated: Option<Snapshot>,
+    /// What is to be on disk before the change is in force.
+    write: Option<(PathBuf, Vec<u8>)>,
     in_force: Arc<Options>,
 }
 
@@ -54,7 +59,10 @@
             let found = hash_of(&bytes);
             ensure!(found == *hash, "{shown} has the hash {found:016x}, not {hash:016x}");
         }
-        let configuration = Configuration::load(&self.path, self.options_path.as_deref(), change)?;
+        let replicated = self.replicated.as_ref().map(|snapshot| &snapshot.state);
+        let layers = Layers { change, replicated };
+        let configuration = Configuration::load(&self.path, self.options_path.as_deref(), layers)?;
+        *configuration.replicated.borrow_mut() = self.replicated;
         let (mut retunes, mut tenant_names) = (Vec::new(), None);
         {
             let new = configuration.options.borrow();
@@ -63,6 +71,9 @@
                 tenant_names = Some(names_of(after));
             }
         }
+        if let Some((file, bytes)) = self.write {
+            files::write(&file, &bytes).with_context(|| format!("cannot write {}", file.display()))?;
+        }
         Ok(Prepared { configuration, retunes, tenant_names })
     }
 }
@@ -97,31 +108,55 @@
     }
     let _turn = server.changes.lock.lock().await;
     server.changes.reload_waits.set(false);
-    let candidate = server.configuration.candidate.borrow().clone();
-    let change = candidate.and_then(|candidate| Some((candidate.path, candidate.adopted?)));
-    if let Err(error) = apply(&server, change).await {
+    let (change, replicated) = (adopted(&server), server.configuration.replicated.borrow().clone());
+    if let Err(error) = apply(&server, change, replicated, None).await {
         server.counters.reloads_refused.add();
         warn!("configuration kept as it was: {error:#}");
     }
 }
 
+/// The settings of a change by stages that the server goes by now, and their hash.
+fn adopted(server: &Server) -> Option<(PathBuf, u64)> {
+    let candidate = server.configuration.candidate.borrow().clone()?;
+    Some((candidate.path, candidate.adopted?))
+}
+
+/// Goes by a revision of replicated configuration once `bytes` of it are on disk; `Err` leaves all as it is.
+pub async fn go_by_replicated(
+    server: &Rc<Server>,
+    snapshot: Snapshot,
+    bytes: Vec<u8>,
+    file: PathBuf,
+) -> Result<()> {
+    let _turn = server.changes.lock.lock().await;
+    apply(server, adopted(server), Some(snapshot), Some((file, bytes))).await
+}
+
 /// Goes by the settings of a change, known by their hash, or by its own again; `Err` leaves all as it is.
 pub async fn adopt(server: &Rc<Server>, change: Option<u64>) -> Result<()> {
     let _turn = server.changes.lock.lock().await;
     let candidate = server.configuration.candidate.borrow().clone();
     let candidate = candidate.context("<rollout> is not in the options")?;
-    apply(server, change.map(|hash| (candidate.path.clone(), hash))).await?;
+    let replicated = server.configuration.replicated.borrow().clone();
+    apply(server, change.map(|hash| (candidate.path.clone(), hash)), replicated, None).await?;
     *server.configuration.candidate.borrow_mut() = Some(Candidate { adopted: change, ..candidate });
     Ok(())
 }
 
 /// Reads the files, checks that they can be taken over while the server runs, and puts them in force.
-async fn apply(server: &Rc<Server>, change: Option<(PathBuf, u64)>) -> Result<()> {
+async fn apply(
+    server: &Rc<Server>,
+    change: Option<(PathBuf, u64)>,
+    replicated: Option<Snapshot>,
+    write: Option<(PathBuf, Vec<u8>)>,
+) -> Result<()> {
     let configuration = &server.configuration;
     let request = Request {
         path: configuration.path.clone(),
         options_path: configuration.options_path.clone(),
         change,
+        replicated,
+        write,
         in_force: configuration.options.borrow().clone(),
     };
     let place = server.descriptors.for_file(&server.pool).await;
@@ -133,6 +168,7 @@
     configuration.reference.set(new.reference.get());
     let (old_addresses, addresses) = (configuration.addresses.get(), new.addresses.get());
     configuration.addresses.set(addresses);
+    configuration.replicated.swap(&new.replicated);
     let new_options = new.options.borrow().clone();
     let old_options = configuration.options.replace(new_options);
     let old_names =
@@ -157,9 +193,9 @@
     ensure!(calls(old) == calls(new), "records: a call more or less takes a restart");
     {
         let (before, after) = (old.options.borrow(), new.options.borrow());
-        let same = (&before.tokens, &before.left_out, &before.rollout)
-            == (&after.tokens, &after.left_out, &after.rollout);
-        ensure!(same, "options: <tokens>, <calls>, <rollout>: others take a restart");
+        let same = (&before.tokens, &before.left_out, &before.rollout, &before.replication)
+            == (&after.tokens, &after.left_out, &after.rollout, &after.replication);
+        ensure!(same, "options: <tokens>, <calls>, <rollout>, <replication>: others take a restart");
     }
     let fleet = |c: &Configuration| {
         c.membership.as_ref().map(|f| (f.bind, f.advertise, f.name.clone(), f.seeds.clone()))
--- a/crates/server/src/lifecycle/tasks/fleet.rs
+++ b/crates/server/src/lifecycle/tasks/fleet.rs
@@ -1,14 +1,16 @@
 //! The fleet's view: one task owns the membership core on its UDP socket, feeds it datagrams and time, sends
 //! what it asks, and says in the log what changed and how the view stands. It feeds the module nothing yet.
 
+use super::replication::Replication;
 use super::{Server, rollout};
 use crate::lifecycle::configuration::Fleet;
 use async_io::{Async, Timer};
 use futures_lite::future;
+use meadowstream_membership::directory::Directory;
 use meadowstream_membership::envelope::DATAGRAM_MAX;
 use meadowstream_membership::{Change, Id, Membership, Seen, Standing};
 use meadowstream_rollout::wire;
-use meadowstream_shared_state::{ABOUTS, ORDER_REPORTS, ORDERS};
+use meadowstream_shared_state::{ABOUTS, ORDER_REPORTS, ORDERS, REPLICATION};
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use tracing::{info, warn};
@@ -40,13 +42,21 @@
     };
     info!(target: "fleet", member = me.name, %addr, %bound, incarnation = me.incarnation,
         fleet = fleet.settings.fleet, seeds = fleet.seeds.len(), "joining");
+    let given = server.configuration.options.borrow().replication.clone();
+    let replication = given
+        .zip(server.configuration.replication_file())
+        .map(|(given, file)| Replication::new(&server, &given, &fleet.name, file, now()));
+    let replication = match replication.transpose() {
+        Ok(replication) => replication,
+        Err(fault) => return warn!(target: "fleet", %fault, "<replication>: membership off"),
+    };
     core.join(&fleet.seeds, now());
     let mut buffer = vec![0; DATAGRAM_MAX + 1];
     let mut shown: Option<Vec<(SocketAddr, u64, Standing)>> = None;
     let mut dropped_shown = 0;
     let mut next_view = now();
     let mut shown_at = 0;
-    let mut sharing = Sharing::default();
+    let mut sharing = Sharing { replication, ..Sharing::default() };
     loop {
         sharing.play(&server, &mut core, now()).await;
         send(&socket, &mut core).await;
@@ -110,6 +120,8 @@
 /// The part of the task that carries shared state between its core and the peers.
 #[derive(Default)]
 struct Sharing {
+    replication: Option<Replication>,
+    directory: Directory,
     due: u64,
     shown: crate::memory::shared::Shown,
     shown_at: u64,
@@ -132,6 +144,9 @@
         let answers = !came.is_empty();
         shared.heard(came);
         for (from, topic, body) in shared.others() {
+            if let Some(replication) = self.replication.as_mut().filter(|_| topic == REPLICATION) {
+                replication.receive(&from.name, &body, now);
+            }
             if topic == ABOUTS
                 && let Some((rollout, words)) = server.rollout.as_ref().zip(wire::decode(&body))
             {
@@ -146,24 +161,28 @@
         if now < self.due && !answers {
             return;
         }
-        self.due = now + shared.due_in();
-        let view = core.view(now);
-        let alive: Vec<String> =
-            view.iter().filter(|s| s.state == Standing::Alive).map(|s| s.name.clone()).collect();
+        self.directory.refresh(core, now);
+        let directory = &self.directory;
+        if let Some(replication) = &mut self.replication {
+            replication.play(server, shared, directory, now);
+        }
+        let replication_due = self.replication.as_ref().map_or(u64::MAX, |replication| replication.due(now));
+        self.due = (now + shared.due_in()).min(replication_due);
+        let alive = directory.names();
         if let Some(rollout) = server.rollout.as_ref().filter(|_| now >= self.told_at + TOLD_EVERY) {
             self.told_at = now;
             let mut abouts = rollout.abouts.borrow_mut();
-            abouts.keep(|name| view.iter().any(|s| s.name == name && s.state != Standing::Down));
+            abouts.keep(|name| directory.address(name).is_some());
             if !alive.is_empty() {
                 // Whoever comes next in turn, from a place that differs by server.
                 let at = (now / TOLD_EVERY).wrapping_add(abouts.me().incarnation) as usize % alive.len();
                 shared.send_other(&alive[at], ABOUTS, wire::encode(&abouts.tell(now)));
             }
         }
-        let (out, again) = shared.advance(&alive, &server.counters);
+        let (out, again) = shared.advance(alive, &server.counters);
         for (name, body) in out {
-            if let Some(to) = view.iter().find(|s| s.name == name && s.state != Standing::Down) {
-                core.carry(to.addr, &body, now);
+            if let Some(to) = directory.address(&name) {
+                core.carry(to, &body, now);
             }
         }
         if again {
--- a/crates/server/src/lifecycle/tasks/mod.rs
+++ b/crates/server/src/lifecycle/tasks/mod.rs
@@ -7,6 +7,7 @@
 pub mod decisions;
 pub mod fleet;
 pub mod link;
+pub mod replication;
 pub mod rollout;
 
 use super::clock::Clock;
--- /dev/null
+++ b/crates/server/src/lifecycle/tasks/replication.rs
@@ -0,0 +1,166 @@
+//! This server's part in replicated configuration: the pure core is driven by the fleet's task; a revision is
+//! checked and written to disk on the blocking pool before it is in force, and what becomes of it is reported.
+
+use super::Server;
+use crate::lifecycle::reload;
+use crate::memory::shared::Shared;
+use async_channel::{Receiver, Sender};
+use meadowstream_membership::Nanos;
+use meadowstream_membership::directory::Directory;
+use meadowstream_options::replication::Replication as Given;
+use meadowstream_replication::history::Snapshot;
+use meadowstream_replication::member::{Member, Settings};
+use meadowstream_replication::message::Location;
+use meadowstream_replication::replica::Saved;
+use meadowstream_replication::store;
+use meadowstream_shared_state::REPLICATION;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use tracing::{info, warn};
+
+/// While a revision is being checked its outcome is looked for this often.
+const OUTCOME_LOOK: Nanos = 10_000_000;
+/// The state is shown again this often where nothing changes.
+const SHOWN_EVERY: Nanos = 10_000_000_000;
+
+/// A revision and what became of it.
+type Outcome = (u64, Result<(), String>);
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Shown {
+    in_force: u64,
+    held: u64,
+    refused: Option<(u64, String)>,
+    stale: bool,
+}
+
+pub struct Replication {
+    member: Member,
+    file: PathBuf,
+    stale_after: Nanos,
+    outcomes: (Sender<Outcome>, Receiver<Outcome>),
+    is_checking: bool,
+    shown: Shown,
+    shown_at: Nanos,
+}
+
+pub fn settings(given: &Given) -> Settings {
+    let location = Location { region: given.region.clone(), zone: given.zone.clone() };
+    Settings {
+        pull_period: given.pull_period,
+        bytes_a_second: given.bytes_a_second,
+        ..Settings::new(location, given.replicas.clone())
+    }
+}
+
+/// The last good revision as it stands on disk; `Ok(None)` where there is none, an error where it cannot be
+/// gone by.
+pub fn read_file(file: &Path) -> anyhow::Result<Option<Saved>> {
+    let bytes = match std::fs::read(file) {
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+        bytes => bytes?,
+    };
+    store::decode(&bytes).map(Some).map_err(|fault| anyhow::anyhow!("{}: {fault}", file.display()))
+}
+
+impl Replication {
+    /// A revision that the server has started by is in force already. `Err` names a bad setting.
+    pub fn new(
+        server: &Server,
+        given: &Given,
+        name: &str,
+        file: PathBuf,
+        now: Nanos,
+    ) -> Result<Replication, String> {
+        if given.replicas.iter().any(|replica| replica == name) {
+            return Err(format!("replica: {name:?} serves; the log is kept by `meadowstream control`"));
+        }
+        let standing = server.configuration.replicated.borrow().clone();
+        let disk = standing.map(|committed| Saved { committed, ..Saved::default() });
+        let mut member = Member::new(name, settings(given), server.configuration.seed ^ now, now, disk)?;
+        if let Some(standing) = member.take_pending() {
+            member.settled(standing.revision.at.number, Ok(()), now);
+        }
+        Ok(Replication {
+            member,
+            file,
+            stale_after: given.stale_after,
+            outcomes: async_channel::unbounded(),
+            is_checking: false,
+            shown: Shown::default(),
+            shown_at: 0,
+        })
+    }
+
+    pub fn receive(&mut self, from: &str, body: &[u8], now: Nanos) {
+        self.member.receive(now, from, body);
+    }
+
+    /// Does what is due and sends what is to be sent.
+    pub fn play(&mut self, server: &Rc<Server>, shared: &Shared, directory: &Directory, now: Nanos) {
+        while let Ok((number, outcome)) = self.outcomes.1.try_recv() {
+            self.is_checking = false;
+            if let Err(why) = &outcome {
+                warn!(target: "fleet", number, why, "a revision of the configuration was refused");
+            }
+            self.member.settled(number, outcome, now);
+        }
+        if now >= self.member.next_due() {
+            self.member.advance(now, directory.names());
+        }
+        if let Some(snapshot) = self.member.take_pending() {
+            self.is_checking = true;
+            let saved = store::encode(&self.member.to_save(&snapshot));
+            let put =
+                put_in_force(server.clone(), snapshot, saved, self.file.clone(), self.outcomes.0.clone());
+            server.executor.spawn(put).detach();
+        }
+        for (to, body) in self.member.outgoing() {
+            shared.send_other(&to, REPLICATION, body);
+        }
+        self.show(now);
+    }
+
+    /// When [`Replication::play`] is wanted again.
+    pub fn due(&self, now: Nanos) -> Nanos {
+        let outcome = if self.is_checking { now + OUTCOME_LOOK } else { Nanos::MAX };
+        self.member.next_due().min(outcome)
+    }
+
+    fn show(&mut self, now: Nanos) {
+        let age = self.member.age(now);
+        let shown = Shown {
+            in_force: self.member.in_force(),
+            held: self.member.revision().at.number,
+            refused: self.member.refused().cloned(),
+            stale: age.is_none_or(|age| age > self.stale_after),
+        };
+        if shown == self.shown && now < self.shown_at + SHOWN_EVERY {
+            return;
+        }
+        let age_ms = age.map_or(-1, |age| (age / 1_000_000) as i64);
+        let Shown { in_force, held, refused, stale } = &shown;
+        let refused = refused.as_ref().map_or(String::new(), |(number, why)| format!("{number}: {why}"));
+        let publisher = self.member.publisher().unwrap_or("");
+        let fetched = self.member.transferred().unwrap_or(0);
+        let counts = serde_json::to_string(&self.member.counts).unwrap_or_default();
+        info!(target: "fleet", in_force, held, age_ms, stale, publisher, refused, fetched, counts, "replication");
+        if *stale && (self.shown_at == 0 || now >= self.shown_at + SHOWN_EVERY || !self.shown.stale) {
+            warn!(target: "fleet", in_force, age_ms, "no word of the configuration's publisher: goes by the last good");
+        }
+        (self.shown, self.shown_at) = (shown, now);
+    }
+}
+
+/// Checks a revision, writes it, and goes by it.
+async fn put_in_force(
+    server: Rc<Server>,
+    snapshot: Snapshot,
+    saved: Vec<u8>,
+    file: PathBuf,
+    outcomes: Sender<Outcome>,
+) {
+    let number = snapshot.revision.at.number;
+    let outcome = reload::go_by_replicated(&server, snapshot, saved, file).await;
+    let _ = outcomes.send((number, outcome.map_err(|error| format!("{error:#}")))).await;
+}
--- a/crates/server/src/lifecycle/tasks/rollout.rs
+++ b/crates/server/src/lifecycle/tasks/rollout.rs
@@ -4,7 +4,7 @@
 
 use super::Server;
 use crate::lifecycle::configuration::{Candidate, hash_of};
-use crate::lifecycle::reload;
+use crate::lifecycle::{files, reload};
 use crate::memory::figures::Record;
 use anyhow::Context;
 use async_channel::Sender;
@@ -12,8 +12,6 @@
 use meadowstream_rollout::wire::{Kind, Order, Report};
 use meadowstream_shared_state::Who;
 use std::cell::{Cell, RefCell};
-use std::io::Write;
-use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use tracing::{info, warn};
 
@@ -145,13 +143,14 @@
     let Some(rollout) = &server.rollout else { return };
     let mark = rollout.candidate.mark.clone();
     let done = match adopt {
-        None => match blocking::unblock(move || remove(&mark)).await {
+        None => match blocking::unblock(move || files::remove(&mark)).await {
             Ok(()) => reload::adopt(&server, None).await,
             Err(error) => Err(anyhow::Error::from(error).context("cannot take back the mark on disk")),
         },
         Some(hash) => match reload::adopt(&server, Some(hash)).await {
             Ok(()) => {
-                let written = blocking::unblock(move || write(&mark, &format!("{hash:016x}\n"))).await;
+                let written =
+                    blocking::unblock(move || files::write(&mark, format!("{hash:016x}\n").as_bytes())).await;
                 written.map_err(|error| anyhow::Error::from(error).context("cannot put the mark on disk"))
             }
             Err(error) => Err(error),
@@ -183,12 +182,12 @@
     let Some(rollout) = &server.rollout else { return };
     let (mark, program) = (rollout.candidate.program_mark.clone(), rollout.candidate.program.clone());
     let done = blocking::unblock(move || -> anyhow::Result<()> {
-        let Some(hash) = adopt else { return Ok(remove(&mark)?) };
+        let Some(hash) = adopt else { return Ok(files::remove(&mark)?) };
         let program = program.context("<rollout>: program is not in the options")?;
         let shown = program.display();
         let found = hash_of(&std::fs::read(&program).with_context(|| format!("cannot read {shown}"))?);
         anyhow::ensure!(found == hash, "{shown} has the hash {found:016x}, not {hash:016x}");
-        Ok(write(&mark, &format!("{hash:016x} {shown}\n"))?)
+        Ok(files::write(&mark, format!("{hash:016x} {shown}\n").as_bytes())?)
     })
     .await;
     match done {
@@ -206,27 +205,3 @@
         }
     }
 }
-
-/// Written whole or not at all, and there to stay: file, rename, folder.
-pub fn write(path: &Path, text: &str) -> std::io::Result<()> {
-    let mut beside = path.as_os_str().to_os_string();
-    beside.push(".new");
-    let beside = PathBuf::from(beside);
-    let mut file = std::fs::File::create(&beside)?;
-    file.write_all(text.as_bytes())?;
-    file.sync_all()?;
-    std::fs::rename(&beside, path)?;
-    sync_folder(path)
-}
-
-fn remove(path: &Path) -> std::io::Result<()> {
-    match std::fs::remove_file(path) {
-        Err(error) if error.kind() != std::io::ErrorKind::NotFound => Err(error),
-        _ => sync_folder(path),
-    }
-}
-
-fn sync_folder(path: &Path) -> std::io::Result<()> {
-    let folder = path.parent().filter(|parent| !parent.as_os_str().is_empty());
-    std::fs::File::open(folder.unwrap_or(Path::new(".")))?.sync_all()
-}
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -8,7 +8,8 @@
 mod wire;
 
 use anyhow::{Context, Result, ensure};
-use lifecycle::{configuration::Configuration, coordinate, start};
+use lifecycle::configuration::{Configuration, Layers};
+use lifecycle::{control, coordinate, publish, start};
 use meadowstream_stand_ins::{night, table::table};
 use std::ffi::OsStr;
 use std::path::{Path, PathBuf};
@@ -25,6 +26,8 @@
   meadowstream fleet rehearse          play crashes, stalls and a partition between servers on loopback
   meadowstream fleet capacity          measure what a fleet of hundreds of servers costs each of them
   meadowstream rollout PLAN            bring a change of settings to the fleet in stages
+  meadowstream control                 keep the fleet's configuration with other control machines
+  meadowstream publish CHANGE          bring a change of configuration to all servers within seconds
   meadowstream version                 say which version this is
 
 meadowstream COMMAND --help says more. Exit codes: 0 done, 1 failed, 2 wrong usage.
@@ -76,6 +79,22 @@
 from there when it is started again. It waits 120 seconds for the lease that one plan at a time holds.
 Exit codes: 0 all stages went through, 1 it was stopped or rolled back, or could not be done, 2 wrong usage.
 ";
+const CONTROL: &str = "\
+meadowstream control --options FILE [--log json]
+
+Keeps the log of the fleet's configuration with the other <replica>s of the options, and publishes while it
+holds the lease (docs/replication.md). Serves nothing; runs until SIGTERM or SIGINT.
+";
+const PUBLISH: &str = "\
+meadowstream publish CHANGE --options FILE [--wait SECONDS]
+meadowstream publish revert NUMBER --options FILE [--wait SECONDS]
+meadowstream publish status --options FILE [--wait SECONDS]
+
+Hands a change (XML, deploy/meadowstream.xsd) to the publisher and waits until all servers go by it, or takes
+the change of a revision back, or says who goes by the newest. The options name the fleet to join; at most 10
+seconds are waited where --wait says nothing. Exit codes: 0 all go by it, 1 refused or not all do in time,
+2 wrong usage.
+";
 const VERSION: &str = "\
 meadowstream version
 
@@ -92,6 +111,8 @@
         Some("rehearse") => REHEARSE,
         Some("fleet") => FLEET,
         Some("rollout") => ROLLOUT,
+        Some("control") => CONTROL,
+        Some("publish") => PUBLISH,
         Some("version") => VERSION,
         _ => HELP,
     };
@@ -132,12 +153,7 @@
             let given: Option<PathBuf> = arguments.opt_value_from_os_str("--config", path)?;
             let file = given.or_else(|| std::env::var_os("ROUTER_CONFIG").map(PathBuf::from));
             let file = file.context("neither --config nor $ROUTER_CONFIG names a configuration")?;
-            let log: Option<String> = arguments.opt_value_from_str("--log")?;
-            let json = match log.as_deref() {
-                None | Some("text") => false,
-                Some("json") => true,
-                Some(other) => anyhow::bail!("--log: {other:?} is neither text nor json"),
-            };
+            let json = wants_json(&mut arguments)?;
             Box::new(move || serve(&file, options.as_deref(), json))
         }
         Some("check") => {
@@ -168,6 +184,16 @@
             }
         }
         Some("rollout") => rollout(&mut arguments)?,
+        Some("control") => {
+            let options: Option<PathBuf> = arguments.opt_value_from_os_str("--options", path)?;
+            let options = options.context("control: --options is to name the fleet's settings")?;
+            let json = wants_json(&mut arguments)?;
+            Box::new(move || {
+                start_log(json);
+                control::run(&options)
+            })
+        }
+        Some("publish") => publish_command(&mut arguments)?,
         Some("version") => Box::new(|| {
             println!("meadowstream {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -179,6 +205,30 @@
     Ok(Some(act))
 }
 
+fn wants_json(arguments: &mut pico_args::Arguments) -> Result<bool> {
+    let log: Option<String> = arguments.opt_value_from_str("--log")?;
+    match log.as_deref() {
+        None | Some("text") => Ok(false),
+        Some("json") => Ok(true),
+        Some(other) => anyhow::bail!("--log: {other:?} is neither text nor json"),
+    }
+}
+
+/// The three forms of `publish`.
+fn publish_command(arguments: &mut pico_args::Arguments) -> Result<Act> {
+    let path = |text: &OsStr| Ok::<_, std::convert::Infallible>(PathBuf::from(text));
+    let options: Option<PathBuf> = arguments.opt_value_from_os_str("--options", path)?;
+    let options = options.context("publish: --options is to name the fleet's settings")?;
+    let wait: Option<u64> = arguments.opt_value_from_str("--wait")?;
+    let wait = wait.map_or(publish::WAIT_USUAL, Duration::from_secs);
+    let mut words: Vec<String> = Vec::new();
+    while let Some(word) = arguments.opt_free_from_str()? {
+        words.push(word);
+    }
+    let given = publish::Given { ask: publish::ask_of(&words)?, options, wait };
+    Ok(Box::new(move || publish::run(&given)))
+}
+
 /// The three forms of `rollout`.
 fn rollout(arguments: &mut pico_args::Arguments) -> Result<Act> {
     let path = |text: &OsStr| Ok::<_, std::convert::Infallible>(PathBuf::from(text));
@@ -204,6 +254,11 @@
 }
 
 fn serve(file: &Path, options: Option<&Path>, json: bool) -> Result<()> {
+    start_log(json);
+    start::serve(Configuration::load_standing(file, options)?)
+}
+
+fn start_log(json: bool) {
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
     let log = tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(|| log::Log);
     if json {
@@ -211,11 +266,10 @@
     } else {
         log.init();
     }
-    start::serve(Configuration::load_standing(file, options)?)
 }
 
 fn check(file: &Path, options: Option<&Path>) -> Result<()> {
-    let read = Configuration::load(file, options, None)?;
+    let read = Configuration::load(file, options, Layers::default())?;
     let operations = read.settings.operation_names.join(", ");
     println!("{} would listen on {} for {operations}", read.name, read.listen);
     read.notes.iter().for_each(|note| println!("{note}"));
--- a/crates/server/src/memory/shared.rs
+++ b/crates/server/src/memory/shared.rs
@@ -138,7 +138,7 @@
     /// A total from a reload; `Err` leaves the old one.
     pub fn set_total(&self, total: u64) -> Result<(), String> {
         let mut inner = self.inner.borrow_mut();
-        let mut calls = inner.state.budgets.iter_mut().filter(|budget| budget.plan().name != ROLLOUTS);
+        let mut calls = inner.state.budgets.iter_mut().filter(|budget| !is_lease(budget));
         calls.try_for_each(|budget| budget.set_total(total))
     }
 
@@ -173,7 +173,7 @@
             state.counts.add(key, now.get() - *counted);
             *counted = now.get();
         }
-        for budget in state.budgets.iter_mut().filter(|budget| budget.plan().name != ROLLOUTS) {
+        for budget in state.budgets.iter_mut().filter(|budget| !is_lease(budget)) {
             let lately = 2 * budget.plan().refresh;
             let (wants, uses) = (permits.wants(time, lately), permits.uses(time));
             budget.note_use(wants, uses);
@@ -242,12 +242,19 @@
     }
 }
 
-/// The budget of one that whoever coordinates a rollout holds; a server only helps to give it.
+/// Leases, budgets of one unit: whoever coordinates a rollout holds the one, the publisher of configuration the
+/// other. A server only helps to give them.
 pub const ROLLOUTS: &str = "rollouts";
+pub const PUBLISHING: &str = "publishing";
+pub const LEASES: [&str; 2] = [ROLLOUTS, PUBLISHING];
+
+fn is_lease(budget: &Budget) -> bool {
+    LEASES.contains(&budget.plan().name.as_str())
+}
 
 /// The budget of calls below.
 fn calls(state: &SharedState) -> Option<&Budget> {
-    state.budgets.iter().find(|budget| budget.plan().name != ROLLOUTS)
+    state.budgets.iter().find(|budget| !is_lease(budget))
 }
 
 const COUNTED: [&str; 4] = ["invocations", "succeeded", "throttled", "errored"];
--- a/crates/shared-state/src/lib.rs
+++ b/crates/shared-state/src/lib.rs
@@ -75,6 +75,7 @@
 pub const ORDERS: u16 = 1;
 pub const ORDER_REPORTS: u16 = 2;
 pub const ABOUTS: u16 = 3;
+pub const REPLICATION: u16 = 4;
 /// Bodies of other topics that may wait to be taken; more are dropped.
 const OTHERS_MAX: usize = 1024;
 
--- a/crates/stand-ins/src/fleet.rs
+++ b/crates/stand-ins/src/fleet.rs
@@ -61,6 +61,8 @@
     pub options: String,
     /// More of them, for each server its own.
     pub own_options: Vec<String>,
+    /// The first so many are control machines, which keep the log of configuration and serve nothing.
+    pub controls: usize,
     /// Where each takes calls; a free port of its own where not given.
     pub listens: Vec<SocketAddr>,
 }
@@ -170,9 +172,13 @@
     fn spawn(&self, i: usize) -> Result<Child> {
         let mark = std::fs::read_to_string(self.folder.join(format!("s{i}.xml.program"))).ok();
         let marked = mark.as_ref().and_then(|mark| mark.trim().split_once(' ')).map(|(_, path)| path);
-        Command::new(marked.map_or(self.program.as_path(), Path::new))
-            .args(["serve", "--log", "json", "--config"])
-            .arg(self.folder.join(format!("s{i}.json")))
+        let mut command = Command::new(marked.map_or(self.program.as_path(), Path::new));
+        if i < self.extra.controls {
+            command.args(["control", "--log", "json"]);
+        } else {
+            command.args(["serve", "--log", "json", "--config"]).arg(self.folder.join(format!("s{i}.json")));
+        }
+        command
             .arg("--options")
             .arg(self.folder.join(format!("s{i}.xml")))
             .stdin(Stdio::null())
