--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! Delays between regions and zones are estimates; processor time is the thread's, and memory the allocator's.
 
+pub mod day;
 pub mod fit;
 pub mod fleet;
 pub mod hollow;
--- a/crates/replication/src/member.rs
+++ b/crates/replication/src/member.rs
@@ -5,7 +5,7 @@
 use crate::Nanos;
 use crate::budget::ByteBudget;
 use crate::history::{CHECKPOINT_EVERY, Fault, History, Snapshot, Taken};
-use crate::message::{BODY_MAX, Fresh, Location, Message, REASON_MAX, Report};
+use crate::message::{BODY_MAX, Fresh, Location, Message, NEIGHBOURS_MAX, REASON_MAX, Report};
 use crate::operator::Requests;
 use crate::peers::Peers;
 use crate::replica::{NotPublished, Replica, Saved};
@@ -37,6 +37,8 @@
 const FRESHER_MS: u64 = 1_500;
 /// A control machine has nothing else to send: it may send so many times as much as a server.
 const CONTROL_SHARE: u64 = 16;
+/// For so long a member hears from others how far the log goes.
+const CATCH_UP: Nanos = 2 * SECOND;
 /// Without room in the budget a chunk is asked for again this much later.
 const CHUNK_PAUSE: Nanos = 100 * MILLISECOND;
 
@@ -108,8 +110,9 @@
     chunk_due: Nanos,
     pub(crate) control: Option<Control>,
     fresh: Fresh,
-    /// The highest number that any member has told of.
-    newest: u64,
+    /// The highest number that members told of in the first moments, and when these end.
+    catch_up: u64,
+    catch_up_until: Nanos,
     /// It started with a revision from its disk.
     from_disk: bool,
     pub(crate) publisher: Option<String>,
@@ -164,7 +167,8 @@
             chunk_due: 0,
             control,
             fresh: Fresh::default(),
-            newest: 0,
+            catch_up: 0,
+            catch_up_until: 0,
             from_disk,
             publisher: None,
             in_force: 0,
@@ -267,7 +271,7 @@
     pub fn take_pending(&mut self) -> Option<Snapshot> {
         let complete = self.history.complete();
         let number = complete.revision.at.number;
-        if self.in_force == 0 && self.history.number() < self.newest && !self.from_disk {
+        if self.in_force == 0 && self.history.number() < self.catch_up && !self.from_disk {
             return None;
         }
         let refused = self.refused.as_ref().map_or(0, |(number, _)| *number);
@@ -420,7 +424,9 @@
 
     fn send_have(&mut self, to: &str, asks: bool, now: Nanos) {
         let location = self.settings.location.clone();
-        let have = Message::Have { number: self.history.number(), fresh: self.fresh, location, asks };
+        let neighbours = self.peers.some_of(&location, NEIGHBOURS_MAX, &mut self.rng);
+        let (number, fresh) = (self.history.number(), self.fresh);
+        let have = Message::Have { number, fresh, location, neighbours, asks };
         self.send(to, &have, now);
     }
 
@@ -433,7 +439,8 @@
         if to == self.me {
             self.heard_report(&to, report);
         } else {
-            self.send(&to, &Message::Report(report), now);
+            let location = self.settings.location.clone();
+            self.send(&to, &Message::Report { report, location }, now);
         }
     }
 
@@ -531,14 +538,15 @@
             return;
         };
         match message {
-            Message::Have { number, fresh, location, asks } => {
+            Message::Have { number, fresh, location, neighbours, asks } => {
                 self.peers.note(from, &location);
-                self.newest = self.newest.max(number).max(fresh.number);
+                neighbours.iter().for_each(|name| self.peers.note(name, &location));
+                self.heard_of(number, now);
                 self.heard_fresh(fresh);
                 self.answer_have(from, number, fresh, asks, now);
             }
             Message::Entries { entries, publisher, pushed, newest } => {
-                self.newest = self.newest.max(newest);
+                self.heard_of(newest, now);
                 self.heard_entries(now, from, entries, publisher, pushed);
             }
             Message::Offer { checkpoint } => self.heard_offer(from, checkpoint, now),
@@ -546,7 +554,10 @@
             Message::Chunk { checkpoint, after, pairs, last } => {
                 self.heard_chunk(checkpoint, &after, &pairs, last, now)
             }
-            Message::Report(report) => self.heard_report(from, report),
+            Message::Report { report, location } => {
+                self.peers.note(from, &location);
+                self.heard_report(from, report);
+            }
             Message::AskReport => {
                 self.publisher = Some(from.to_string());
                 self.send_report(now);
@@ -572,6 +583,17 @@
         self.settle(now);
     }
 
+    /// What a member without any revision is to reach before it puts one in force. Told of for a moment only:
+    /// where revisions keep coming it would never have them all.
+    fn heard_of(&mut self, number: u64, now: Nanos) {
+        if self.catch_up_until == 0 && number > 0 {
+            self.catch_up_until = now + CATCH_UP;
+        }
+        if now < self.catch_up_until {
+            self.catch_up = self.catch_up.max(number);
+        }
+    }
+
     /// The word of a log that goes further than what is held here says nothing of what is held.
     fn heard_fresh(&mut self, fresh: Fresh) {
         if fresh.number <= self.history.number() && fresh.at_ms > self.fresh.at_ms {
@@ -634,7 +656,7 @@
 
     fn heard_offer(&mut self, from: &str, checkpoint: Revision, now: Nanos) {
         let number = checkpoint.at.number;
-        self.newest = self.newest.max(number);
+        self.heard_of(number, now);
         // One under way goes on unless it has become far older than what is offered.
         let far = |under_way: &Transfer| under_way.target().at.number + CHECKPOINT_EVERY < number;
         if number > self.history.number() && self.transfer.as_ref().is_none_or(far) {
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -9,6 +9,8 @@
 pub const BODY_MAX: usize = 1_100;
 /// Longest name of a member, a region or a zone, in bytes.
 pub const NAME_MAX: usize = 64;
+/// Neighbours that one message names.
+pub const NEIGHBOURS_MAX: usize = 3;
 /// Longest reason of a refusal, in bytes.
 pub const REASON_MAX: usize = 200;
 
@@ -46,11 +48,12 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// What the sender holds. One that holds more answers with entries or an offer, one that holds less asks
-    /// in turn where `asks` is set.
+    /// in turn where `asks` is set. `neighbours` are some others of the same zone, so that all find each other.
     Have {
         number: u64,
         fresh: Fresh,
         location: Location,
+        neighbours: Vec<String>,
         asks: bool,
     },
     /// Committed entries in order, who published the last, and the newest number that the sender holds.
@@ -77,7 +80,10 @@
         last: bool,
     },
     /// To the publisher, and what makes a server send it at once.
-    Report(Report),
+    Report {
+        report: Report,
+        location: Location,
+    },
     AskReport,
     /// Between replicas: a candidate asks for promises, and for the log after a number.
     Prepare {
@@ -164,8 +170,13 @@
     fn is_within_bounds(&self) -> bool {
         let short = |text: &str| text.len() <= NAME_MAX;
         match self {
-            Message::Have { location, .. } => short(&location.region) && short(&location.zone),
-            Message::Report(report) => report.refused.as_ref().is_none_or(|(_, why)| why.len() <= REASON_MAX),
+            Message::Have { location, neighbours, .. } => {
+                let named = neighbours.len() <= NEIGHBOURS_MAX && neighbours.iter().all(|name| short(name));
+                named && short(&location.region) && short(&location.zone)
+            }
+            Message::Report { report, .. } => {
+                report.refused.as_ref().is_none_or(|(_, why)| why.len() <= REASON_MAX)
+            }
             Message::Entries { publisher, .. } => publisher.as_deref().is_none_or(short),
             Message::Submit { ticket, changes, .. } => {
                 short(&ticket.from) && changes.iter().all(|change| change.fault().is_none())
--- a/crates/replication/src/peers.rs
+++ b/crates/replication/src/peers.rs
@@ -4,11 +4,13 @@
 use crate::message::Location;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::Rng;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 /// A member that was not heard of for so long is forgotten.
 const FORGET: Nanos = 60_000_000_000;
+/// Draws for each member that is wanted.
+const DRAWS: usize = 8;
 
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -17,7 +19,7 @@
     alive: Arc<Vec<String>>,
     known: HashMap<String, Location>,
     /// Members by zone; a member is in it exactly where it is in `known`.
-    zones: BTreeMap<Location, BTreeSet<String>>,
+    zones: BTreeMap<Location, Vec<String>>,
     forget_at: Nanos,
 }
 
@@ -50,21 +52,21 @@
     fn forget(&mut self, name: &str) {
         let Some(location) = self.known.remove(name) else { return };
         if let Some(members) = self.zones.get_mut(&location) {
-            members.remove(name);
+            members.retain(|member| member != name);
             if members.is_empty() {
                 self.zones.remove(&location);
             }
         }
     }
 
-    /// A member says where it stands.
+    /// A member stands there, as it or a neighbour of it says.
     pub fn note(&mut self, name: &str, location: &Location) {
-        if !self.is_alive(name) || self.known.get(name) == Some(location) {
+        if name == self.me || !self.is_alive(name) || self.known.get(name) == Some(location) {
             return;
         }
         self.forget(name);
         self.known.insert(name.to_string(), location.clone());
-        self.zones.entry(location.clone()).or_default().insert(name.to_string());
+        self.zones.entry(location.clone()).or_default().push(name.to_string());
     }
 
     pub fn known(&self) -> usize {
@@ -76,15 +78,19 @@
         self.alive.iter().filter(|name| **name != self.me)
     }
 
-    /// So many different ones of the living in a zone, as far as they are known there.
+    /// So many different ones of the living in a zone, as far as they are known there. A few draws more than
+    /// are wanted are made, so that the time does not grow with the zone; where many have died fewer are found.
     pub fn some_of(&self, zone: &Location, count: usize, rng: &mut ChaCha8Rng) -> Vec<String> {
-        let members = self.zones.get(zone).into_iter().flatten();
-        let living = |name: &&String| **name != self.me && self.is_alive(name);
-        let mut living: Vec<&String> = members.filter(living).collect();
-        let mut some = Vec::new();
-        while some.len() < count && !living.is_empty() {
-            let place = (rng.next_u64() % living.len() as u64) as usize;
-            some.push(living.swap_remove(place).clone());
+        let Some(members) = self.zones.get(zone) else { return Vec::new() };
+        let mut some: Vec<String> = Vec::new();
+        for _ in 0..DRAWS * count {
+            if some.len() == count.min(members.len()) {
+                break;
+            }
+            let Some(name) = pick(members, rng) else { break };
+            if *name != self.me && !some.contains(name) && self.is_alive(name) {
+                some.push(name.clone());
+            }
         }
         some
     }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -297,6 +297,10 @@
         let last = parts.pop().unwrap_or_default();
         parts.into_iter().for_each(|part| self.append(part, true, history));
         self.append(last, false, history);
+        // What is new goes out at once, whenever the last message went.
+        if let Role::Publisher(publisher) = &mut self.role {
+            publisher.sent.clear();
+        }
         self.send_entries(now, history);
         Ok(self.last(history).number)
     }
--- a/crates/replication/src/sim.rs
+++ b/crates/replication/src/sim.rs
@@ -7,6 +7,7 @@
 use crate::history::Snapshot;
 use crate::member::{Member, Settings};
 use crate::message::Location;
+use crate::replica::Saved;
 use crate::state::ContentHash;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
@@ -40,7 +41,7 @@
 struct Node {
     member: Option<Member>,
     life: u64,
-    disk: Option<Vec<u8>>,
+    disk: Option<Disk>,
     disk_full: bool,
     /// Keys beginning so are refused, as by a server that does not know an element.
     refuses: Option<String>,
@@ -48,6 +49,21 @@
     highest: u64,
 }
 
+/// What is on a disk: whole, which costs nothing to keep, or the bytes of a file that was spoilt.
+enum Disk {
+    Whole(Saved),
+    Spoilt(Vec<u8>),
+}
+
+impl Disk {
+    fn read(&self) -> Option<Saved> {
+        match self {
+            Disk::Whole(saved) => Some(saved.clone()),
+            Disk::Spoilt(bytes) => crate::store::decode(bytes).ok(),
+        }
+    }
+}
+
 enum Event {
     Message { to: usize, from: usize, body: Vec<u8> },
     Due { node: usize, life: u64 },
@@ -158,7 +174,7 @@
             pull_period: self.layout.pull_period,
             ..Settings::new((self.layout.location)(node), (0..self.layout.replicas).map(name).collect())
         };
-        let disk = self.nodes[node].disk.as_ref().and_then(|bytes| crate::store::decode(bytes).ok());
+        let disk = self.nodes[node].disk.as_ref().and_then(Disk::read);
         let seed = self.rng.next_u64();
         let mut member = Member::new(&name(node), settings, seed, self.now, disk).expect("good settings");
         if let Some(view) = self.views.get(&self.groups[node]) {
@@ -177,9 +193,14 @@
 
     /// What is on a node's disk is lost, or cut to a part of its length.
     pub fn spoil_disk(&mut self, node: usize, part: f64) {
-        if let Some(disk) = &mut self.nodes[node].disk {
-            disk.truncate((disk.len() as f64 * part) as usize);
-        }
+        let Some(saved) = self.nodes[node].disk.as_ref().and_then(Disk::read) else { return };
+        let mut bytes = crate::store::encode(&saved);
+        bytes.truncate((bytes.len() as f64 * part) as usize);
+        self.nodes[node].disk = Some(Disk::Spoilt(bytes));
+    }
+
+    pub fn disk_is_empty(&self, node: usize) -> bool {
+        self.nodes[node].disk.as_ref().and_then(Disk::read).is_none()
     }
 
     pub fn set_disk_full(&mut self, node: usize, full: bool) {
@@ -285,8 +306,8 @@
                 member.not_saved();
                 break;
             }
-            slot.disk = Some(crate::store::encode(&saved));
             member.saved(&saved, now);
+            slot.disk = Some(Disk::Whole(saved));
         }
         let pending = member.take_pending();
         let (outgoing, due, life) = (member.outgoing(), member.next_due().max(now + MILLISECOND), slot.life);
@@ -389,7 +410,7 @@
         if outcome.is_ok() {
             assert!(number >= slot.highest, "s{node} went back from {} to {number}", slot.highest);
             let is_new = std::mem::replace(&mut slot.highest, number) < number;
-            slot.disk = Some(crate::store::encode(&member.to_save(&snapshot)));
+            slot.disk = Some(Disk::Whole(member.to_save(&snapshot)));
             let content = *self.contents.entry(number).or_insert(snapshot.revision.hash);
             assert_eq!(content, snapshot.revision.hash, "two contents under number {number}");
             if is_new {
--- a/crates/replication/tests/fleet.rs
+++ b/crates/replication/tests/fleet.rs
@@ -104,7 +104,13 @@
     let number = fleet.publish(many(0, 1000)).unwrap();
     until_all(&mut fleet, &all(), number, 20);
     let before = fleet.member(20).unwrap().counts;
-    let asks = Message::Have { number: 0, fresh: Default::default(), location: location(2), asks: true };
+    let asks = Message::Have {
+        number: 0,
+        fresh: Default::default(),
+        location: location(2),
+        neighbours: Vec::new(),
+        asks: true,
+    };
     (0..500).for_each(|_| fleet.inject(20, 2, asks.encode()));
     fleet.run_for(S);
     let after = fleet.member(20).unwrap().counts;
--- a/crates/server/src/lifecycle/reload.rs
+++ b/crates/server/src/lifecycle/reload.rs
@@ -10,6 +10,8 @@
 use meadowstream_fair::Retune;
 use meadowstream_options::{Options, Tenants};
 use meadowstream_replication::history::Snapshot;
+use meadowstream_replication::replica::Saved;
+use meadowstream_replication::store;
 use meadowstream_shared_state::budget::Plan;
 use std::cell::Cell;
 use std::collections::HashSet;
@@ -38,7 +40,7 @@
     change: Option<(PathBuf, u64)>,
     replicated: Option<Snapshot>,
     /// What is to be on disk before the change is in force.
-    write: Option<(PathBuf, Vec<u8>)>,
+    write: Option<(PathBuf, Saved)>,
     in_force: Arc<Options>,
 }
 
@@ -71,8 +73,9 @@
                 tenant_names = Some(names_of(after));
             }
         }
-        if let Some((file, bytes)) = self.write {
-            files::write(&file, &bytes).with_context(|| format!("cannot write {}", file.display()))?;
+        if let Some((file, saved)) = self.write {
+            files::write(&file, &store::encode(&saved))
+                .with_context(|| format!("cannot write {}", file.display()))?;
         }
         Ok(Prepared { configuration, retunes, tenant_names })
     }
@@ -121,15 +124,15 @@
     Some((candidate.path, candidate.adopted?))
 }
 
-/// Goes by a revision of replicated configuration once `bytes` of it are on disk; `Err` leaves all as it is.
+/// Goes by a revision of replicated configuration once it is on disk; `Err` leaves all as it is.
 pub async fn go_by_replicated(
     server: &Rc<Server>,
     snapshot: Snapshot,
-    bytes: Vec<u8>,
+    saved: Saved,
     file: PathBuf,
 ) -> Result<()> {
     let _turn = server.changes.lock.lock().await;
-    apply(server, adopted(server), Some(snapshot), Some((file, bytes))).await
+    apply(server, adopted(server), Some(snapshot), Some((file, saved))).await
 }
 
 /// Goes by the settings of a change, known by their hash, or by its own again; `Err` leaves all as it is.
@@ -148,7 +151,7 @@
     server: &Rc<Server>,
     change: Option<(PathBuf, u64)>,
     replicated: Option<Snapshot>,
-    write: Option<(PathBuf, Vec<u8>)>,
+    write: Option<(PathBuf, Saved)>,
 ) -> Result<()> {
     let configuration = &server.configuration;
     let request = Request {
--- a/crates/server/src/lifecycle/tasks/replication.rs
+++ b/crates/server/src/lifecycle/tasks/replication.rs
@@ -110,7 +110,7 @@
         }
         if let Some(snapshot) = self.member.take_pending() {
             self.is_checking = true;
-            let saved = store::encode(&self.member.to_save(&snapshot));
+            let saved = self.member.to_save(&snapshot);
             let put =
                 put_in_force(server.clone(), snapshot, saved, self.file.clone(), self.outcomes.0.clone());
             server.executor.spawn(put).detach();
@@ -156,7 +156,7 @@
 async fn put_in_force(
     server: Rc<Server>,
     snapshot: Snapshot,
-    saved: Vec<u8>,
+    saved: Saved,
     file: PathBuf,
     outcomes: Sender<Outcome>,
 ) {
