--- a/crates/capacity/src/day.rs
+++ b/crates/capacity/src/day.rs
@@ -41,8 +41,9 @@
 }
 
 impl Scale {
+    /// All that happens in a day, in half of one.
     pub fn full(servers: usize, seed: u64) -> Scale {
-        Scale { servers, seed, day: 86_400, region_apart: 3_600, zone_away: 600, control_away: 300 }
+        Scale { servers, seed, day: 43_200, region_apart: 3_600, zone_away: 600, control_away: 300 }
     }
 
     /// All that happens in a day, in a tenth of an hour.
--- a/crates/capacity/src/fleet.rs
+++ b/crates/capacity/src/fleet.rs
@@ -5,6 +5,7 @@
 use crate::meter::Costs;
 use crate::topology::{self, Place};
 use meadowstream_membership::Nanos;
+use meadowstream_replication::message::Location;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use std::cmp::{Ordering, Reverse};
@@ -124,7 +125,12 @@
 
     fn hollow(&self, server: usize) -> Result<Hollow, String> {
         let seed = self.seed ^ ((server as u64) << 20) ^ self.now;
-        Hollow::new(&Self::name(server), Self::address(server), &self.settings, seed, self.now)
+        let mut settings = self.settings.clone();
+        if let Some((replication, _)) = &mut settings.replication {
+            let place = Place::of(server);
+            replication.location = Location { region: place.region_name(), zone: place.zone_name() };
+        }
+        Hollow::new(&Self::name(server), Self::address(server), &settings, seed, self.now)
     }
 
     pub fn server(&self, server: usize) -> Option<&Hollow> {
@@ -236,7 +242,8 @@
 
     /// A timer that was moved meanwhile has another entry of its own.
     fn fire(&mut self, server: usize, at: Nanos) {
-        let Some(hollow) = self.servers[server].as_mut().filter(|hollow| hollow.next_due() == at) else {
+        // One that is due at once, again and again, still lets time go on.
+        let Some(hollow) = self.servers[server].as_mut().filter(|hollow| hollow.next_due() <= at) else {
             return;
         };
         hollow.advance(self.now);
--- a/crates/capacity/src/hollow.rs
+++ b/crates/capacity/src/hollow.rs
@@ -5,8 +5,9 @@
 use meadowstream_membership::directory::Directory;
 use meadowstream_membership::envelope::{HEAD, TAG};
 use meadowstream_membership::{Id, Membership, Nanos};
+use meadowstream_replication::member::Member;
 use meadowstream_shared_state::clock::Reading;
-use meadowstream_shared_state::{SharedState, Who};
+use meadowstream_shared_state::{REPLICATION, SharedState, Who};
 use std::net::SocketAddr;
 
 /// Seconds of simulated time begin here, as Unix nanoseconds: incarnations are start times.
@@ -17,11 +18,15 @@
 pub struct Settings {
     pub membership: meadowstream_membership::Settings,
     pub shared_state: meadowstream_shared_state::Settings,
+    /// Replicated configuration; off where absent. The replicas hold the lease of this name in turn.
+    pub replication: Option<(meadowstream_replication::member::Settings, &'static str)>,
 }
 
 pub struct Hollow {
     pub membership: Membership,
     pub shared_state: SharedState,
+    pub replication: Option<Member>,
+    lease: &'static str,
     directory: Directory,
     shared_due: Nanos,
     pub costs: Costs,
@@ -41,9 +46,15 @@
     ) -> Result<Hollow, String> {
         let me = Id { name: name.to_string(), addr, incarnation: EPOCH + now };
         let who = Who { name: name.to_string(), incarnation: EPOCH + now };
+        let replication = settings
+            .replication
+            .as_ref()
+            .map(|(settings, _)| Member::new(name, settings.clone(), seed, EPOCH + now, None));
         Ok(Hollow {
             membership: Membership::new(me, &settings.membership, seed, now)?,
             shared_state: SharedState::new(who, settings.shared_state.clone(), seed, Self::reading(now))?,
+            replication: replication.transpose()?,
+            lease: settings.replication.as_ref().map_or("", |(_, lease)| lease),
             directory: Directory::default(),
             shared_due: now,
             costs: Costs::default(),
@@ -66,8 +77,52 @@
         for body in carried {
             let _ = self.shared_state.receive(Self::reading(now), &body);
         }
+        let others = self.shared_state.others();
         self.send_shared_state(now);
-        self.costs.shared_state.processor += thread_time() - opened;
+        let shared = thread_time();
+        self.costs.shared_state.processor += shared - opened;
+        if let Some(member) = self.replication.as_mut().filter(|_| !others.is_empty()) {
+            let bodies = others.iter().filter(|(_, topic, _)| *topic == REPLICATION);
+            bodies.for_each(|(from, _, body)| member.receive(EPOCH + now, &from.name, body));
+            self.play_replication(now);
+            self.costs.replication.processor += thread_time() - shared;
+        }
+    }
+
+    /// What a host does: the lease, what is to be written, what is to be in force, what is to be sent. Nothing
+    /// is really written or checked.
+    fn play_replication(&mut self, now: Nanos) {
+        let Some(member) = &mut self.replication else { return };
+        let unix = EPOCH + now;
+        if member.is_replica() {
+            let time = self.shared_state.time();
+            let lease = self.shared_state.budgets.iter_mut().find(|budget| budget.plan().name == self.lease);
+            let holds = lease.is_some_and(|lease| {
+                lease.note_use(1, 0);
+                lease.ceiling(time).leased > 0
+            });
+            member.set_may_publish(holds);
+        }
+        if unix >= member.next_due() {
+            member.advance(unix, self.directory.names());
+        }
+        while let Some(saved) = member.take_save() {
+            member.saved(&saved, unix);
+        }
+        if let Some(snapshot) = member.take_pending() {
+            member.settled(snapshot.revision.at.number, Ok(()), unix);
+        }
+        for (to, body) in member.outgoing() {
+            let before = self.shared_state.tally.sent_bytes;
+            self.shared_state.send_other(&to, REPLICATION, body);
+            let size = self.shared_state.tally.sent_bytes - before;
+            let Some((_, body)) = self.shared_state.outgoing().pop() else { continue };
+            if let Some(address) = self.directory.address(&to) {
+                self.costs.replication.datagrams += 1;
+                self.costs.replication.bytes += size + ENVELOPE;
+                self.membership.carry(address, &body, now);
+            }
+        }
     }
 
     /// Does what is due by `now`.
@@ -84,6 +139,11 @@
             self.send_shared_state(now);
             self.costs.shared_state.processor += thread_time() - advanced;
         }
+        let shared = thread_time();
+        if self.replication.as_ref().is_some_and(|member| EPOCH + now >= member.next_due()) {
+            self.play_replication(now);
+            self.costs.replication.processor += thread_time() - shared;
+        }
     }
 
     fn send_shared_state(&mut self, now: Nanos) {
@@ -103,7 +163,9 @@
     }
 
     pub fn next_due(&self) -> Nanos {
-        self.membership.next_due().unwrap_or(Nanos::MAX).min(self.shared_due)
+        let replication = self.replication.as_ref().map_or(Nanos::MAX, Member::next_due);
+        let replication = replication.saturating_sub(EPOCH);
+        self.membership.next_due().unwrap_or(Nanos::MAX).min(self.shared_due).min(replication)
     }
 
     /// Datagrams to send, to whom; taken once.
--- /dev/null
+++ b/crates/capacity/tests/model.rs
@@ -0,0 +1,66 @@
+//! The scale model in small: bounds that every size keeps, an outcome that its seed alone decides, and a day of
+//! configuration. Large ones are `meadowstream fleet capacity`.
+
+use meadowstream_capacity::day;
+use meadowstream_capacity::fit::{Curve, Line};
+use meadowstream_capacity::model::{self, BYTES_BOUND, Scale};
+use meadowstream_capacity::tenants;
+
+fn scale(servers: usize) -> Scale {
+    Scale { servers, seed: 5, rest: 5, region_apart: 20, zone_away: 20, control_away: 20 }
+}
+
+#[test]
+fn a_fleet_at_rest_stays_within_its_bytes_and_is_decided_by_its_seed() {
+    let rest = model::at_rest(40, &scale(40)).unwrap();
+    assert!(rest.costs.bytes() > 1_000.0 && rest.costs.bytes() < BYTES_BOUND, "{:?}", rest.costs);
+    assert!(rest.costs.replication_bytes > 50.0 && rest.costs.membership_bytes > 100.0, "{:?}", rest.costs);
+    let again = model::at_rest(40, &scale(40)).unwrap();
+    assert_eq!((rest.costs.bytes(), rest.costs.datagrams), (again.costs.bytes(), again.costs.datagrams));
+}
+
+#[test]
+fn counts_take_longer_the_larger_the_fleet() {
+    let small = model::counts_settle(20, &scale(20), 100).unwrap().unwrap();
+    let large = model::counts_settle(80, &scale(80), 100).unwrap().unwrap();
+    assert!(small < large && large < 60.0, "{small} {large}");
+}
+
+#[test]
+fn a_rack_a_region_and_the_control_machines_go_and_come_back() {
+    let rack = model::rack_lost(&scale(60)).unwrap();
+    assert!(rack.seen.unwrap() < 30.0 && rack.returned.unwrap() < 30.0, "{rack:?}");
+    let region = model::region_apart(&scale(60)).unwrap();
+    assert!(region.returned.unwrap() < 30.0, "{region:?}");
+    // The smaller side has no majority of voters: it lives on floors.
+    assert_eq!(region.leases_in_cut, Some(0));
+    let control = model::control_away(&scale(60)).unwrap();
+    assert!(control.returned.unwrap() < 30.0, "{control:?}");
+}
+
+#[test]
+fn a_small_day_of_changes_comes_to_all() {
+    let scale = day::Scale { day: 600, ..day::Scale::quick(60, 5) };
+    let day = day::play(&scale, &|_| ());
+    assert!(day.changes > 700 && day.restarts > 900, "{day:#?}");
+    assert!(day.p50 < 1.0 && day.p99 < 12.0, "{day:#?}");
+    assert!(day.caught_up > 700 && day.bytes < 12_000.0, "{day:#?}");
+}
+
+#[test]
+fn a_line_leaves_the_largest_size_out_and_predicts_it() {
+    let points: Vec<(f64, f64)> = [10.0, 20.0, 30.0, 40.0].iter().map(|x| (*x, 2.0 * x + 1.0)).collect();
+    let curve =
+        Curve::new("doubled", "units", "server", [&points[..], &[(80.0, 200.0)]].concat(), Some(170.0));
+    let line = curve.line.unwrap();
+    assert!((line.slope - 2.0).abs() < 1e-9 && line.slope_error < 1e-9, "{line:?}");
+    assert!((curve.predicted - 161.0).abs() < 1e-9 && curve.measured == 200.0 && !curve.is_within_bound());
+    assert_eq!(Line::through(&points[..2]), None);
+    assert_eq!(Line::through(&[(1.0, 1.0), (1.0, 2.0), (1.0, 3.0)]), None);
+}
+
+#[test]
+fn tenants_take_memory_in_proportion() {
+    let (small, large) = (tenants::measure(500), tenants::measure(2_000));
+    assert!(large.memory > small.memory && large.memory < 2_000.0 * 2_000.0, "{small:?} {large:?}");
+}
--- a/crates/replication/src/member.rs
+++ b/crates/replication/src/member.rs
@@ -549,7 +549,10 @@
                 self.heard_of(newest, now);
                 self.heard_entries(now, from, entries, publisher, pushed);
             }
-            Message::Offer { checkpoint } => self.heard_offer(from, checkpoint, now),
+            Message::Offer { checkpoint, newest } => {
+                self.heard_of(newest, now);
+                self.heard_offer(from, checkpoint, now);
+            }
             Message::Fetch { checkpoint, after } => self.answer_fetch(from, checkpoint, after, now),
             Message::Chunk { checkpoint, after, pairs, last } => {
                 self.heard_chunk(checkpoint, &after, &pairs, last, now)
@@ -615,7 +618,7 @@
     fn send_after(&mut self, to: &str, number: u64, now: Nanos) {
         let Some(entries) = self.history.after(number) else {
             if let Some(checkpoint) = self.history.to_offer() {
-                let offer = Message::Offer { checkpoint: checkpoint.revision };
+                let offer = Message::Offer { checkpoint: checkpoint.revision, newest: self.history.number() };
                 self.send(to, &offer, now);
             }
             return;
@@ -656,7 +659,6 @@
 
     fn heard_offer(&mut self, from: &str, checkpoint: Revision, now: Nanos) {
         let number = checkpoint.at.number;
-        self.heard_of(number, now);
         // One under way goes on unless it has become far older than what is offered.
         let far = |under_way: &Transfer| under_way.target().at.number + CHECKPOINT_EVERY < number;
         if number > self.history.number() && self.transfer.as_ref().is_none_or(far) {
@@ -669,7 +671,7 @@
     fn answer_fetch(&mut self, from: &str, number: u64, after: Option<Text>, now: Nanos) {
         let Some(checkpoint) = self.history.snapshot(number) else {
             if let Some(newest) = self.history.to_offer().filter(|one| one.revision.at.number > number) {
-                let offer = Message::Offer { checkpoint: newest.revision };
+                let offer = Message::Offer { checkpoint: newest.revision, newest: self.history.number() };
                 self.send(from, &offer, now);
             }
             return;
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -64,9 +64,10 @@
         pushed: bool,
         newest: u64,
     },
-    /// The sender holds a checkpoint that the receiver needs.
+    /// The sender holds a checkpoint that the receiver needs, and goes on to a newest number.
     Offer {
         checkpoint: Revision,
+        newest: u64,
     },
     /// The pairs of a checkpoint that follow a key are wanted.
     Fetch {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -46,8 +46,18 @@
     agrees: BTreeMap<String, u64>,
     /// When each was last sent to.
     sent: BTreeMap<String, Nanos>,
-    /// Content after the last entry.
+    /// Content after the last entry, and its number.
     end: State,
+    last: u64,
+}
+
+impl Publisher {
+    /// When a replica is to be sent to again: soon where it lacks entries, else for a sign of life.
+    fn due(&self, replica: &str) -> Nanos {
+        let Some(sent) = self.sent.get(replica) else { return 0 };
+        let agrees = self.agrees.get(replica).is_some_and(|agrees| *agrees >= self.last);
+        sent + if agrees { HEARTBEAT } else { REPEAT }
+    }
 }
 
 #[derive(Debug)]
@@ -196,8 +206,7 @@
             Role::Candidate(candidate) => candidate.asked + REPEAT,
             Role::Publisher(publisher) => {
                 let others = self.replicas.iter().filter(|replica| **replica != self.me);
-                let sent = others.map(|replica| publisher.sent.get(replica).copied().unwrap_or(0));
-                sent.min().map_or(Nanos::MAX, |sent| sent + REPEAT)
+                others.map(|replica| publisher.due(replica)).min().unwrap_or(Nanos::MAX)
             }
         }
     }
@@ -269,6 +278,7 @@
         let at = Position { epoch: self.promised, number };
         let Role::Publisher(publisher) = &mut self.role else { return };
         publisher.end.apply(&changes);
+        publisher.last = number;
         let revision = Revision { at, hash: publisher.end.hash() };
         self.entries.push(Entry { revision, changes, partial });
         self.unsaved = true;
@@ -309,15 +319,12 @@
     fn send_entries(&mut self, now: Nanos, history: &History) {
         let others: Vec<String> =
             self.replicas.iter().filter(|replica| **replica != self.me).cloned().collect();
-        let last = self.last(history).number;
         for replica in others {
             let Role::Publisher(publisher) = &mut self.role else { return };
-            let agrees = publisher.agrees.get(&replica).copied();
-            let sent = publisher.sent.get(&replica).copied().unwrap_or(0);
-            let wait = if agrees.is_some_and(|agrees| agrees >= last) { HEARTBEAT } else { REPEAT };
-            if now < sent + wait && sent > 0 {
+            if now < publisher.due(&replica) {
                 continue;
             }
+            let agrees = publisher.agrees.get(&replica).copied();
             publisher.sent.insert(replica.clone(), now);
             self.send_entries_to(&replica, agrees.unwrap_or(history.number()), history);
         }
