--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -9,6 +9,7 @@
 //! `docs/replication.md` names the ways weighed and what is promised under which fault.
 
 pub mod budget;
+mod checkpoints;
 pub mod history;
 pub mod member;
 pub mod message;
@@ -17,6 +18,7 @@
 pub mod replica;
 pub mod revision;
 pub mod sim;
+mod spread;
 pub mod state;
 pub mod status;
 pub mod store;
--- a/crates/replication/src/member.rs
+++ b/crates/replication/src/member.rs
@@ -5,42 +5,29 @@
 use crate::Nanos;
 use crate::budget::ByteBudget;
 use crate::history::{CHECKPOINT_EVERY, Fault, History, Snapshot, Taken};
-use crate::message::{BODY_MAX, Fresh, Location, Message, NEIGHBOURS_MAX, REASON_MAX, Report};
+use crate::message::{BODY_MAX, Fresh, Location, Message, REASON_MAX, Report};
 use crate::operator::Requests;
 use crate::peers::Peers;
 use crate::replica::{NotPublished, Replica, Saved};
 use crate::revision::{Change, Entry, Revision};
-use crate::state::{KEY_MAX, Text};
 use crate::status::{Status, Waiting};
-use crate::transfer::{Step, Transfer};
+use crate::transfer::Transfer;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use std::sync::Arc;
 
-const MILLISECOND: Nanos = 1_000_000;
-const SECOND: Nanos = 1_000_000_000;
-/// Neighbours in the zone that a new entry is pushed to; three reach 19 in 20, pulls the rest.
-const PUSHED_TO: usize = 3;
+pub(crate) const MILLISECOND: Nanos = 1_000_000;
+pub(crate) const SECOND: Nanos = 1_000_000_000;
 /// Members of each zone that the publisher pushes to.
 const RELAYS: usize = 2;
-/// One pull in so many goes to any member of the fleet, the others within the zone.
-const PULL_ANYWHERE: u64 = 4;
-/// Messages of entries that one question is answered with.
-const ANSWERS_MAX: usize = 3;
 /// A report is told again this often, and first within a part of a second.
 const REPORT_EVERY: Nanos = 10 * SECOND;
 const REPORT_SOON: Nanos = 200 * MILLISECOND;
 /// The publisher says how fresh the log is, and asks members that lag for reports, this often.
 const FRESH_EVERY: Nanos = SECOND;
 const ASK_EVERY: Nanos = 200 * MILLISECOND;
-/// One whose word is older by so much is told a fresher one.
-const FRESHER_MS: u64 = 1_500;
 /// A control machine has nothing else to send: it may send so many times as much as a server.
 const CONTROL_SHARE: u64 = 16;
-/// For so long a member hears from others how far the log goes.
-const CATCH_UP: Nanos = 2 * SECOND;
-/// Without room in the budget a chunk is asked for again this much later.
-const CHUNK_PAUSE: Nanos = 100 * MILLISECOND;
 
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -102,29 +89,29 @@
 
 pub struct Member {
     pub(crate) me: String,
-    settings: Settings,
+    pub(crate) settings: Settings,
     pub(crate) history: History,
     pub(crate) peers: Peers,
-    budget: ByteBudget,
-    transfer: Option<Transfer>,
-    chunk_due: Nanos,
+    pub(crate) budget: ByteBudget,
+    pub(crate) transfer: Option<Transfer>,
+    pub(crate) chunk_due: Nanos,
     pub(crate) control: Option<Control>,
-    fresh: Fresh,
+    pub(crate) fresh: Fresh,
     /// The highest number that members told of in the first moments, and when these end.
-    catch_up: u64,
-    catch_up_until: Nanos,
+    pub(crate) catch_up: u64,
+    pub(crate) catch_up_until: Nanos,
     /// It started with a revision from its disk.
-    from_disk: bool,
+    pub(crate) from_disk: bool,
     pub(crate) publisher: Option<String>,
     /// The last revision put in force, the one that is being checked, and the last one refused.
-    in_force: u64,
-    checking: Option<u64>,
-    refused: Option<(u64, String)>,
-    pull_due: Nanos,
-    report_due: Nanos,
-    out: Vec<(String, Vec<u8>)>,
+    pub(crate) in_force: u64,
+    pub(crate) checking: Option<u64>,
+    pub(crate) refused: Option<(u64, String)>,
+    pub(crate) pull_due: Nanos,
+    pub(crate) report_due: Nanos,
+    pub(crate) out: Vec<(String, Vec<u8>)>,
     pub counts: Counts,
-    rng: ChaCha8Rng,
+    pub(crate) rng: ChaCha8Rng,
 }
 
 impl Member {
@@ -353,7 +340,7 @@
     }
 
     /// Takes what the replica says is committed into the history, tells the members, and answers operators.
-    fn settle(&mut self, now: Nanos) {
+    pub(crate) fn settle(&mut self, now: Nanos) {
         let Some(control) = &mut self.control else { return };
         let committed = control.replica.committed(&self.history);
         self.take_committed(now, &committed, true);
@@ -362,7 +349,7 @@
     }
 
     /// Committed entries of whatever source; whether any was new.
-    fn take_committed(&mut self, now: Nanos, entries: &[Entry], publishes: bool) -> bool {
+    pub(crate) fn take_committed(&mut self, now: Nanos, entries: &[Entry], publishes: bool) -> bool {
         let mut new: Vec<Entry> = Vec::new();
         for entry in entries {
             match self.history.take(entry) {
@@ -389,47 +376,6 @@
         true
     }
 
-    /// Sends what has just become known on, to be sent on by those who did not know it.
-    fn push(&mut self, to: &[String], entries: &[Entry], now: Nanos) {
-        for part in messages_of(entries) {
-            let message = self.entries_message(part, true);
-            to.iter().for_each(|name| self.send(name, &message, now));
-        }
-    }
-
-    fn entries_message(&self, entries: Vec<Entry>, pushed: bool) -> Message {
-        Message::Entries { entries, publisher: self.publisher.clone(), pushed, newest: self.history.number() }
-    }
-
-    fn push_in_zone(&mut self, entries: &[Entry], now: Nanos) {
-        let to = self.peers.some_of(&self.settings.location, PUSHED_TO, &mut self.rng);
-        self.push(&to, entries, now);
-    }
-
-    /// A neighbour in the zone, or at times any member, so that zones hear of each other.
-    fn neighbour(&mut self) -> Option<String> {
-        let anywhere = self.rng.next_u64().is_multiple_of(PULL_ANYWHERE);
-        let near = match anywhere {
-            true => None,
-            false => self.peers.some_of(&self.settings.location, 1, &mut self.rng).pop(),
-        };
-        near.or_else(|| self.peers.any(&mut self.rng))
-    }
-
-    fn pull(&mut self, now: Nanos) {
-        if let Some(name) = self.neighbour() {
-            self.send_have(&name, true, now);
-        }
-    }
-
-    fn send_have(&mut self, to: &str, asks: bool, now: Nanos) {
-        let location = self.settings.location.clone();
-        let neighbours = self.peers.some_of(&location, NEIGHBOURS_MAX, &mut self.rng);
-        let (number, fresh) = (self.history.number(), self.fresh);
-        let have = Message::Have { number, fresh, location, neighbours, asks };
-        self.send(to, &have, now);
-    }
-
     fn send_report(&mut self, now: Nanos) {
         let known = self.publisher.clone().filter(|name| self.peers.is_alive(name));
         let replicas = &self.settings.replicas;
@@ -450,26 +396,6 @@
         }
     }
 
-    /// Asks for the next chunk of a checkpoint, at the pace of the budget.
-    fn fetch(&mut self, now: Nanos) {
-        self.transfer.take_if(|transfer| transfer.is_given_up());
-        let Some(transfer) = &self.transfer else { return };
-        if now < self.chunk_due || !transfer.is_due(now) {
-            return;
-        }
-        // What is asked for counts as what is sent does: a chunk in for each chunk out.
-        if !self.budget.take(BODY_MAX, now) {
-            self.chunk_due = now + CHUNK_PAUSE;
-            return;
-        }
-        let known = transfer.source().cloned().filter(|name| self.peers.is_alive(name));
-        let Some(of) = known.or_else(|| self.neighbour()) else { return };
-        let Some(transfer) = &mut self.transfer else { return };
-        let checkpoint = transfer.target().at.number;
-        let after = transfer.ask(&of, now);
-        self.send(&of, &Message::Fetch { checkpoint, after }, now);
-    }
-
     pub(crate) fn send(&mut self, to: &str, message: &Message, now: Nanos) {
         let body = message.encode();
         if !self.budget.take(body.len(), now) {
@@ -585,146 +511,4 @@
         self.take_committed(now, &committed, false);
         self.settle(now);
     }
-
-    /// What a member without any revision is to reach before it puts one in force. Told of for a moment only:
-    /// where revisions keep coming it would never have them all.
-    fn heard_of(&mut self, number: u64, now: Nanos) {
-        if self.catch_up_until == 0 && number > 0 {
-            self.catch_up_until = now + CATCH_UP;
-        }
-        if now < self.catch_up_until {
-            self.catch_up = self.catch_up.max(number);
-        }
-    }
-
-    /// The word of a log that goes further than what is held here says nothing of what is held.
-    fn heard_fresh(&mut self, fresh: Fresh) {
-        if fresh.number <= self.history.number() && fresh.at_ms > self.fresh.at_ms {
-            self.fresh = fresh;
-        }
-    }
-
-    fn answer_have(&mut self, from: &str, number: u64, fresh: Fresh, asks: bool, now: Nanos) {
-        if number < self.history.number() {
-            return self.send_after(from, number, now);
-        }
-        let ahead = number > self.history.number();
-        let staler = fresh.at_ms + FRESHER_MS < self.fresh.at_ms;
-        if asks && (ahead || staler) {
-            self.send_have(from, false, now);
-        }
-    }
-
-    fn send_after(&mut self, to: &str, number: u64, now: Nanos) {
-        let Some(entries) = self.history.after(number) else {
-            if let Some(checkpoint) = self.history.to_offer() {
-                let offer = Message::Offer { checkpoint: checkpoint.revision, newest: self.history.number() };
-                self.send(to, &offer, now);
-            }
-            return;
-        };
-        // No more than the answers hold is looked at.
-        let entries: Vec<Entry> = entries.take(ANSWERS_MAX * BODY_MAX).cloned().collect();
-        for part in messages_of(&entries).into_iter().take(ANSWERS_MAX) {
-            let message = self.entries_message(part, false);
-            self.send(to, &message, now);
-        }
-    }
-
-    fn heard_entries(
-        &mut self,
-        now: Nanos,
-        from: &str,
-        entries: Vec<Entry>,
-        publisher: Option<String>,
-        pushed: bool,
-    ) {
-        let before = self.history.number();
-        let gap = entries.first().is_some_and(|entry| entry.revision.at.number > before + 1);
-        if self.take_committed(now, &entries, false) {
-            self.publisher = publisher.or(self.publisher.take());
-            let new: Vec<Entry> =
-                entries.into_iter().filter(|entry| entry.revision.at.number > before).collect();
-            if pushed {
-                self.push_in_zone(&new, now);
-            } else {
-                // There may be more where this came from.
-                self.send_have(from, true, now);
-            }
-            self.settle(now);
-        } else if gap {
-            self.send_have(from, true, now);
-        }
-    }
-
-    fn heard_offer(&mut self, from: &str, checkpoint: Revision, now: Nanos) {
-        let number = checkpoint.at.number;
-        // One under way goes on unless it has become far older than what is offered.
-        let far = |under_way: &Transfer| under_way.target().at.number + CHECKPOINT_EVERY < number;
-        if number > self.history.number() && self.transfer.as_ref().is_none_or(far) {
-            self.counts.transfers += 1;
-            self.transfer = Some(Transfer::new(checkpoint, from));
-            self.fetch(now);
-        }
-    }
-
-    fn answer_fetch(&mut self, from: &str, number: u64, after: Option<Text>, now: Nanos) {
-        let Some(checkpoint) = self.history.snapshot(number) else {
-            if let Some(newest) = self.history.to_offer().filter(|one| one.revision.at.number > number) {
-                let offer = Message::Offer { checkpoint: newest.revision, newest: self.history.number() };
-                self.send(from, &offer, now);
-            }
-            return;
-        };
-        // The head of the message has a key of its own.
-        let (pairs, last) = checkpoint.state.chunk(after.as_ref(), BODY_MAX - 2 * KEY_MAX);
-        let chunk = Message::Chunk { checkpoint: number, after, pairs, last };
-        self.send(from, &chunk, now);
-    }
-
-    fn heard_chunk(
-        &mut self,
-        checkpoint: u64,
-        after: &Option<Text>,
-        pairs: &[(Text, Text)],
-        last: bool,
-        now: Nanos,
-    ) {
-        let Some(transfer) = &mut self.transfer else { return };
-        match transfer.take(checkpoint, after, pairs, last) {
-            Step::Ignored => {}
-            Step::Next => self.fetch(now),
-            Step::Bad => {
-                self.counts.mismatched += 1;
-                self.transfer = None;
-            }
-            Step::Done(snapshot) => {
-                self.transfer = None;
-                if snapshot.revision.at.number > self.history.number() {
-                    self.history = History::from_snapshot(snapshot);
-                    if let Some(control) = &mut self.control {
-                        control.replica.follow(&self.history);
-                    }
-                    self.pull(now);
-                }
-            }
-        }
-    }
-}
-
-/// The entries in as few messages as hold them.
-fn messages_of(entries: &[Entry]) -> Vec<Vec<Entry>> {
-    const ROOM: usize = BODY_MAX - 2 * crate::message::NAME_MAX;
-    let mut parts: Vec<Vec<Entry>> = Vec::new();
-    let mut held = usize::MAX;
-    for entry in entries {
-        let size = entry.size();
-        if held.saturating_add(size) > ROOM {
-            parts.push(Vec::new());
-            held = 0;
-        }
-        held += size;
-        parts.last_mut().expect("pushed before").push(entry.clone());
-    }
-    parts
 }
