--- a/crates/capacity/src/day.rs
+++ b/crates/capacity/src/day.rs
@@ -1,5 +1,6 @@
-//! A day of configuration on the fleet: changes at their stated number, restarts and failures at their rates, a
-//! rack, a zone and a region away, all control machines away; and when each change was in force everywhere.
+//! A day of configuration on the fleet: changes at their stated number, restarts and failures at their
+//! rates, a rack, a zone and a region away, all control machines away; and when each change was in force
+//! everywhere.
 
 use crate::meter::thread_time;
 use crate::topology::{self, Place};
--- a/crates/capacity/src/hollow.rs
+++ b/crates/capacity/src/hollow.rs
@@ -1,5 +1,5 @@
-//! One hollow server: the cores that a real one runs for the fleet, with nothing to serve, driven by datagrams
-//! and time. What it sends goes out by address, sealed as a real one's.
+//! One hollow server: the cores that a real one runs for the fleet, with nothing to serve, driven by
+//! datagrams and time. What it sends goes out by address, sealed as a real one's.
 
 use crate::meter::{Costs, thread_time};
 use meadowstream_membership::directory::Directory;
@@ -89,8 +89,8 @@
         }
     }
 
-    /// What a host does: the lease, what is to be written, what is to be in force, what is to be sent. Nothing
-    /// is really written or checked.
+    /// What a host does: the lease, what is to be written, what is to be in force, what is to be sent.
+    /// Nothing is really written or checked.
     fn play_replication(&mut self, now: Nanos) {
         let Some(member) = &mut self.replication else { return };
         let unix = EPOCH + now;
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -3,7 +3,8 @@
 //! at several sizes, fits a line through all but the largest, and sets the measurement there beside the
 //! prediction; and it plays failures at their stated rates. `docs/CAPACITY.md` has its figures.
 //!
-//! Delays between regions and zones are estimates; processor time is the thread's, and memory the allocator's.
+//! Delays between regions and zones are estimates; processor time is the thread's, and memory the
+//! allocator's.
 
 pub mod day;
 pub mod fit;
--- a/crates/capacity/src/meter.rs
+++ b/crates/capacity/src/meter.rs
@@ -1,5 +1,5 @@
-//! What a mechanism costs: processor time of the thread, datagrams and bytes. Memory is what the allocator has
-//! given out.
+//! What a mechanism costs: processor time of the thread, datagrams and bytes. Memory is what the allocator
+//! has given out.
 
 use serde::Serialize;
 
--- a/crates/capacity/src/model.rs
+++ b/crates/capacity/src/model.rs
@@ -369,8 +369,8 @@
     cut_off(scale, what, scale.zone_away, |place| place.zone == 9)
 }
 
-/// All control machines, which are the seeds, are down for a while, and others restart meanwhile, a dozen more
-/// than the rate says so that some do.
+/// All control machines, which are the seeds, are down for a while, and others restart meanwhile, a dozen
+/// more than the rate says so that some do.
 pub fn control_away(scale: &Scale) -> Result<Incident, String> {
     let (mut fleet, mut rng) = prepared(scale)?;
     seeds().into_iter().for_each(|server| fleet.crash(server));
--- a/crates/capacity/src/process.rs
+++ b/crates/capacity/src/process.rs
@@ -1,5 +1,5 @@
-//! Real processes of the program on loopback, with stand-ins for the interpreter and the catalog: what they hold
-//! and do as the system counts it. Each is ended by its own id.
+//! Real processes of the program on loopback, with stand-ins for the interpreter and the catalog: what they
+//! hold and do as the system counts it. Each is ended by its own id.
 
 use anyhow::{Context, Result};
 use meadowstream_stand_ins::{interpreter, parties};
@@ -54,7 +54,8 @@
     };
     let operations: Vec<Value> = (0..setup.routes).map(operation).collect();
     json!({
-        "name": setup.name, "listen": "127.0.0.1:0", "vm": interpreter.to_string(), "records": interpreter.to_string(),
+        "name": setup.name, "listen": "127.0.0.1:0", "vm": interpreter.to_string(),
+        "records": interpreter.to_string(),
         "directory": catalog.to_string(), "seed": "8c1f30d27a5be964", "stop_ms": 4000,
         "limits": {"cores": setup.cores, "memory_mb": 256, "sockets": setup.descriptors},
         "settings": {
--- a/crates/capacity/src/real.rs
+++ b/crates/capacity/src/real.rs
@@ -1,6 +1,6 @@
-//! The figures that only real processes give: what the program adds to a request with many tenants and routes,
-//! what a connection holds, and what some dozens of processes with the control parts on use, beside the model
-//! of as many.
+//! The figures that only real processes give: what the program adds to a request with many tenants and
+//! routes, what a connection holds, and what some dozens of processes with the control parts on use, beside
+//! the model of as many.
 
 use crate::fit::Curve;
 use crate::process::{Process, Setup, options_file};
--- a/crates/capacity/src/report.rs
+++ b/crates/capacity/src/report.rs
@@ -128,8 +128,8 @@
 
 type PlayIncident = fn(&Scale) -> Result<Incident, String>;
 
-/// Incidents and the day side by side, each on a thread of its own. A quick run plays them at a quarter of the
-/// size; the whole plays a region's hour at a quarter of it, and 300 s at all of it.
+/// Incidents and the day side by side, each on a thread of its own. A quick run plays them at a quarter of
+/// the size; the whole plays a region's hour at a quarter of it, and 300 s at all of it.
 fn incidents(scale: &Scale, quick: bool, say: &(dyn Fn(&str) + Sync)) -> Result<(Vec<Incident>, Day)> {
     let small = |parts: usize| Scale { servers: scale.servers / parts, ..*scale };
     let scale = if quick { small(4) } else { *scale };
@@ -211,7 +211,8 @@
     fn dozens_line(&self) -> String {
         let (real, model) = (&self.dozens, &self.dozens_model);
         format!(
-            "{} processes: {:.2} MB resident (alone {:.2}; the model's part {:.2}), {:.3}% of a core (model {:.3}), \
+            "{} processes: {:.2} MB resident (alone {:.2}; the model's part {:.2}), {:.3}% of a core \
+             (model {:.3}), \
              {:.0} bytes a second (model {:.0})",
             real.processes,
             real.resident / 1e6,
@@ -241,8 +242,10 @@
     let Added { load, sent, succeeded, p50, p99, most, timer_p99, resident, processor, pause } = one;
     let pause = pause.map_or("-".to_string(), |pause| format!("{pause} us"));
     format!(
-        "{} tenants, {} routes, {} a second: {succeeded} of {sent} succeeded, added p50 {p50} us, p99 {p99} us, most \
-         {most} us (timers of the load late by {timer_p99} us, p99); {:.1} MB, {processor:.1}% of a core; {} changes, longest pause {pause}",
+        "{} tenants, {} routes, {} a second: {succeeded} of {sent} succeeded, added p50 {p50} us, \
+         p99 {p99} us, most \
+         {most} us (timers of the load late by {timer_p99} us, p99); {:.1} MB, {processor:.1}% of a core; \
+         {} changes, longest pause {pause}",
         load.tenants,
         load.routes,
         load.rate,
@@ -255,7 +258,8 @@
     let scale = &day.scale;
     let mut lines = vec![
         format!(
-            "{} servers, a day of {} s: {} changes ({} found no publisher), {} restarts and failures; a region apart \
+            "{} servers, a day of {} s: {} changes ({} found no publisher), {} restarts and failures; \
+             a region apart \
              for {} s, a zone {} s, all control machines {} s",
             scale.servers,
             scale.day,
@@ -267,11 +271,13 @@
             scale.control_away
         ),
         format!(
-            "in force on a server after p50 {:.2} s, p99 {:.2} s, worst {:.2} s; everywhere after p50 {:.2} s, p99 {:.2} s",
+            "in force on a server after p50 {:.2} s, p99 {:.2} s, worst {:.2} s; everywhere \
+             after p50 {:.2} s, p99 {:.2} s",
             day.p50, day.p99, day.worst, day.everywhere_p50, day.everywhere_p99
         ),
         format!(
-            "{} returns had the newest after {:.2} s at the worst, with an empty disk {:.2} s; {:.0} bytes a second a \
+            "{} returns had the newest after {:.2} s at the worst, with an empty disk {:.2} s; {:.0} bytes \
+             a second a \
              server, {:.0} the publisher, {:.4}% of a core",
             day.caught_up,
             day.caught_up_worst,
@@ -288,7 +294,8 @@
 fn incident_line(one: &Incident) -> String {
     let span = |span: Option<f64>| span.map_or("none in time".to_string(), |span| format!("{span:.2} s"));
     let mut line = format!(
-        "{} servers, {}: one view of the rest {}, of all after the return {}; {} restarts, burst {:.0} bytes a second",
+        "{} servers, {}: one view of the rest {}, of all after the return {}; {} restarts, \
+         burst {:.0} bytes a second",
         one.servers,
         one.what,
         span(one.seen),
--- a/crates/capacity/src/tenants.rs
+++ b/crates/capacity/src/tenants.rs
@@ -1,5 +1,5 @@
-//! What tenants cost one server: the memory of their accounts, and the time that an arrival and the level of a
-//! control period take in the real fair queues.
+//! What tenants cost one server: the memory of their accounts, and the time that an arrival and the level
+//! of a control period take in the real fair queues.
 
 use crate::fit::Curve;
 use crate::meter::{allocated, thread_time};
--- a/crates/capacity/tests/model.rs
+++ b/crates/capacity/tests/model.rs
@@ -1,5 +1,5 @@
-//! The scale model in small: bounds that every size keeps, an outcome that its seed alone decides, and a day of
-//! configuration. Large ones are `meadowstream fleet capacity`.
+//! The scale model in small: bounds that every size keeps, an outcome that its seed alone decides, and a
+//! day of configuration. Large ones are `meadowstream fleet capacity`.
 
 use meadowstream_capacity::day;
 use meadowstream_capacity::fit::{Curve, Line};
--- a/crates/options/src/replication.rs
+++ b/crates/options/src/replication.rs
@@ -1,5 +1,5 @@
-//! Configuration that comes to a server by replication: the element that turns it on, the file of a change that an
-//! operator publishes, and what the keys of a replicated configuration mean.
+//! Configuration that comes to a server by replication: the element that turns it on, the file of a change
+//! that an operator publishes, and what the keys of a replicated configuration mean.
 
 use crate::{Element, NAMESPACE, Options, parse, text_of};
 use anyhow::{Context, Result, bail, ensure};
@@ -146,8 +146,8 @@
     }
 }
 
-/// Lays a replicated configuration over a server's own options; an error names the key, and then nothing of it
-/// is to be used.
+/// Lays a replicated configuration over a server's own options; an error names the key, and then nothing of
+/// it is to be used.
 pub fn overlay_replicated<'a>(
     options: &mut Options,
     pairs: impl Iterator<Item = (&'a str, &'a str)>,
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -1,5 +1,5 @@
-//! Configuration of a fleet without I/O: time, the seed, the living members and messages go in; messages to send,
-//! what to write to disk and what to put in force come out.
+//! Configuration of a fleet without I/O: time, the seed, the living members and messages go in; messages to
+//! send, what to write to disk and what to put in force come out.
 //!
 //! - [`replica`]: machines set aside for control keep an ordered log of revisions; a majority commits them.
 //! - [`member`]: every server holds the committed log's end, spreads what is new by zone, asks its neighbours
--- a/crates/replication/src/member.rs
+++ b/crates/replication/src/member.rs
@@ -1,6 +1,6 @@
-//! One member's part: it holds the committed log's end, pushes what is new to a few neighbours, pulls from one
-//! in turn, fetches a checkpoint where it lags far, and reports what it goes by. On a control machine it has
-//! a [`Replica`] beside it.
+//! One member's part: it holds the committed log's end, pushes what is new to a few neighbours, pulls from
+//! one in turn, fetches a checkpoint where it lags far, and reports what it goes by. On a control machine
+//! it has a [`Replica`] beside it.
 
 use crate::Nanos;
 use crate::budget::ByteBudget;
@@ -199,8 +199,8 @@
         self.publisher.as_deref()
     }
 
-    /// For how long this member may have missed a revision: the time since the publisher's last word that what
-    /// is held here is the newest. `None` where there was no such word.
+    /// For how long this member may have missed a revision: the time since the publisher's last word that
+    /// what is held here is the newest. `None` where there was no such word.
     pub fn age(&self, now: Nanos) -> Option<Nanos> {
         (self.fresh.at_ms > 0).then(|| now.saturating_sub(self.fresh.at_ms * MILLISECOND))
     }
@@ -220,7 +220,8 @@
         self.status().map_or(0, |status| status.count(others))
     }
 
-    /// On a control machine: those members that do not go by the newest revision, as far as they have reported.
+    /// On a control machine: those members that do not go by the newest revision, as far as they have
+    /// reported.
     pub fn waiting(&self) -> Vec<Waiting> {
         let number = self.history.complete().revision.at.number;
         self.status().map_or(Vec::new(), |status| status.waiting(self.peers.others(), number))
@@ -250,8 +251,8 @@
         number
     }
 
-    /// The revision to be checked and put in force next; it is given once, until [`Member::settled`] says what
-    /// became of it.
+    /// The revision to be checked and put in force next; it is given once, until [`Member::settled`] says
+    /// what became of it.
     ///
     /// A member with nothing in force that knows of newer revisions waits for them: what it held in a life
     /// before may have been newer than what comes first.
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -47,8 +47,9 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    /// What the sender holds. One that holds more answers with entries or an offer, one that holds less asks
-    /// in turn where `asks` is set. `neighbours` are some others of the same zone, so that all find each other.
+    /// What the sender holds. One that holds more answers with entries or an offer, one that holds less
+    /// asks in turn where `asks` is set. `neighbours` are some others of the same zone, so that all find
+    /// each other.
     Have {
         number: u64,
         fresh: Fresh,
--- a/crates/replication/src/operator.rs
+++ b/crates/replication/src/operator.rs
@@ -1,5 +1,5 @@
-//! What operators ask of the publisher: a change, one to be taken back, who goes by what. A question goes with a
-//! ticket and may be repeated; a change is answered once it is committed.
+//! What operators ask of the publisher: a change, one to be taken back, who goes by what. A question goes
+//! with a ticket and may be repeated; a change is answered once it is committed.
 
 use crate::Nanos;
 use crate::member::Member;
--- a/crates/replication/src/peers.rs
+++ b/crates/replication/src/peers.rs
@@ -1,4 +1,5 @@
-//! Which members stand where: each says so itself, and those that the fleet's view no longer holds are forgotten.
+//! Which members stand where: each says so itself, and those that the fleet's view no longer holds are
+//! forgotten.
 
 use crate::Nanos;
 use crate::message::Location;
@@ -78,8 +79,9 @@
         self.alive.iter().filter(|name| **name != self.me)
     }
 
-    /// So many different ones of the living in a zone, as far as they are known there. A few draws more than
-    /// are wanted are made, so that the time does not grow with the zone; where many have died fewer are found.
+    /// So many different ones of the living in a zone, as far as they are known there. A few draws more
+    /// than are wanted are made, so that the time does not grow with the zone; where many have died fewer
+    /// are found.
     pub fn some_of(&self, zone: &Location, count: usize, rng: &mut ChaCha8Rng) -> Vec<String> {
         let Some(members) = self.zones.get(zone) else { return Vec::new() };
         let mut some: Vec<String> = Vec::new();
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -246,8 +246,8 @@
         self.entries = entries;
         let (end, taken_back) = self.end_of_log(history);
         self.role = Role::Publisher(Publisher { end, ..Publisher::default() });
-        // Only an entry of its own epoch tells a publisher that those before it are committed. It takes back a
-        // change that its publisher left half done.
+        // Only an entry of its own epoch tells a publisher that those before it are committed. It takes
+        // back a change that its publisher left half done.
         let mut parts = split(taken_back);
         let whole = parts.pop().unwrap_or_default();
         parts.into_iter().for_each(|part| self.append(part, true, history));
@@ -331,7 +331,8 @@
     }
 
     fn send_entries_to(&mut self, replica: &str, agrees: u64, history: &History) {
-        // One that lags behind what is held hears of the end alone; what is committed spreads to it as to all.
+        // One that lags behind what is held hears of the end alone; what is committed spreads to it as to
+        // all.
         let agrees = if self.position(agrees, history).is_some() { agrees } else { history.number() };
         let Some(previous) = self.position(agrees, history) else { return };
         let log = history.tail().chain(&self.entries).filter(|entry| entry.revision.at.number > agrees);
--- a/crates/replication/src/sim.rs
+++ b/crates/replication/src/sim.rs
@@ -1,7 +1,7 @@
-//! A fleet of [`Member`]s with disks on a simulated network in simulated time, deterministic from its seed: loss,
-//! doubling, delay and reordering, cuts, crashes and restarts, disks that fail. At every step it checks what
-//! must never happen: two contents under one number, and a server that goes back to an older revision. The
-//! fleet's view and the lease are played ideally, with a lag. For tests and figures; no I/O.
+//! A fleet of [`Member`]s with disks on a simulated network in simulated time, deterministic from its seed:
+//! loss, doubling, delay and reordering, cuts, crashes and restarts, disks that fail. At every step it
+//! checks what must never happen: two contents under one number, and a server that goes back to an older
+//! revision. The fleet's view and the lease are played ideally, with a lag. For tests and figures; no I/O.
 
 use crate::Nanos;
 use crate::history::Snapshot;
--- a/crates/replication/src/store.rs
+++ b/crates/replication/src/store.rs
@@ -1,5 +1,5 @@
-//! What is written to disk: a head with version, length and checksum, and the encoded state. A file that is cut
-//! short, of another version or changed anywhere is told from a good one.
+//! What is written to disk: a head with version, length and checksum, and the encoded state. A file that is
+//! cut short, of another version or changed anywhere is told from a good one.
 
 use crate::replica::Saved;
 use sha2::{Digest, Sha256};
--- a/crates/replication/src/transfer.rs
+++ b/crates/replication/src/transfer.rs
@@ -1,5 +1,5 @@
-//! A checkpoint on its way to a member that lacks more than the entries reach: fetched pair by pair in the order
-//! of keys, from whoever holds it, at a pace of its own.
+//! A checkpoint on its way to a member that lacks more than the entries reach: fetched pair by pair in the
+//! order of keys, from whoever holds it, at a pace of its own.
 
 use crate::Nanos;
 use crate::history::Snapshot;
--- a/crates/replication/tests/fleet.rs
+++ b/crates/replication/tests/fleet.rs
@@ -1,5 +1,5 @@
-//! The hard cases of a fleet in simulated time. At every step the fleet checks that no number has two contents
-//! and that no server goes back.
+//! The hard cases of a fleet in simulated time. At every step the fleet checks that no number has two
+//! contents and that no server goes back.
 
 use meadowstream_replication::member::Member;
 use meadowstream_replication::message::{Location, Message};
@@ -368,7 +368,8 @@
         let message = Message::Entries { entries, publisher: Some(name(0)), pushed: true, newest: 0 };
         fleet.inject(20, 3, message.encode());
     };
-    // Old ones again; the next number with a content that is not its hash; a number far ahead; an older epoch.
+    // Old ones again; the next number with a content that is not its hash; a number far ahead; an older
+    // epoch.
     send(&mut fleet, known);
     let at = |number: u64, epoch: u64| Position { epoch, number };
     let hash = before.hash();
@@ -538,7 +539,10 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 40, failure_persistence: None, ..ProptestConfig::default() })]
     #[test]
-    fn whatever_happens_all_come_to_the_same(seed in 0..1000_u64, steps in proptest::collection::vec((any::<u8>(), any::<u8>()), 0..40)) {
+    fn whatever_happens_all_come_to_the_same(
+        seed in 0..1000_u64,
+        steps in proptest::collection::vec((any::<u8>(), any::<u8>()), 0..40),
+    ) {
         play_chaos(seed, &steps);
     }
 }
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -41,8 +41,8 @@
     }
 }
 
-/// Guards against a replica that has promised a later epoch, forgets it with a restart, and stores for an earlier
-/// publisher what the later one does not know of.
+/// Guards against a replica that has promised a later epoch, forgets it with a restart, and stores for an
+/// earlier publisher what the later one does not know of.
 #[test]
 fn a_promise_is_on_disk_before_it_is_given() {
     let mut member = replica(None);
@@ -96,8 +96,8 @@
     assert_eq!(member.revision().at, Position { epoch, number: 1 });
 }
 
-/// Guards against an entry of an earlier epoch that a majority stores, which is counted as committed, and which a
-/// publisher with another entry of an epoch between replaces.
+/// Guards against an entry of an earlier epoch that a majority stores, which is counted as committed, and
+/// which a publisher with another entry of an epoch between replaces.
 #[test]
 fn an_entry_of_an_earlier_epoch_is_committed_by_one_of_its_own_alone() {
     let disk = Saved { promised: 1, entries: vec![entry(1, 1)], ..Saved::default() };
--- a/crates/server/src/lifecycle/configuration.rs
+++ b/crates/server/src/lifecycle/configuration.rs
@@ -210,8 +210,8 @@
 }
 
 impl Configuration {
-    /// As the server starts: by the last good revision of replicated configuration, if there is one on its disk.
-    /// Where it cannot be used it starts without.
+    /// As the server starts: by the last good revision of replicated configuration, if there is one on its
+    /// disk. Where it cannot be used it starts without.
     pub fn load_standing(path: &Path, options: Option<&Path>) -> Result<Self> {
         let own = Self::load_adopted(path, options)?;
         let Some((file, options_path)) = own.replication_file().zip(options) else { return Ok(own) };
--- a/crates/server/src/lifecycle/control.rs
+++ b/crates/server/src/lifecycle/control.rs
@@ -72,7 +72,8 @@
     fn save(&mut self, now: u64) {
         while let Some(saved) = self.member.take_save().filter(|_| now >= self.write_after) {
             if let Err(error) = files::write(&self.file, &store::encode(&saved)) {
-                warn!(target: "fleet", %error, file = %self.file.display(), "cannot write the log: stands back");
+                let file = self.file.display();
+                warn!(target: "fleet", %error, %file, "cannot write the log: stands back");
                 self.write_after = now + WRITE_PAUSE;
                 self.member.not_saved();
                 return;
@@ -101,7 +102,8 @@
         let some: Vec<String> = waiting.iter().take(8).map(told).collect();
         let counts = serde_json::to_string(&self.member.counts).unwrap_or_default();
         let waits_for = some.join("; ");
-        info!(target: "fleet", publishes, number, members, waiting = waiting.len(), waits_for, counts, "control");
+        let waiting = waiting.len();
+        info!(target: "fleet", publishes, number, members, waiting, waits_for, counts, "control");
         (self.shown, self.shown_at) = (shown, now);
     }
 }
--- a/crates/server/src/lifecycle/joined.rs
+++ b/crates/server/src/lifecycle/joined.rs
@@ -1,5 +1,6 @@
-//! A process that is a member of the fleet and serves nothing: a coordinator, a control machine, an operator's
-//! command. It has the fleet's view and the shared state, and hands over what else is said to it.
+//! A process that is a member of the fleet and serves nothing: a coordinator, a control machine, an
+//! operator's command. It has the fleet's view and the shared state, and hands over what else is said to
+//! it.
 
 use super::clock::Clock;
 use super::configuration::Fleet;
--- a/crates/server/src/lifecycle/publish.rs
+++ b/crates/server/src/lifecycle/publish.rs
@@ -1,5 +1,5 @@
-//! `meadowstream publish`: an operator's command. It joins the fleet for a moment, hands a change to the publisher,
-//! and says who goes by it; or takes one back; or only asks.
+//! `meadowstream publish`: an operator's command. It joins the fleet for a moment, hands a change to the
+//! publisher, and says who goes by it; or takes one back; or only asks.
 
 use super::control;
 use super::joined::Joined;
--- a/crates/server/src/lifecycle/tasks/replication.rs
+++ b/crates/server/src/lifecycle/tasks/replication.rs
@@ -1,5 +1,6 @@
-//! This server's part in replicated configuration: the pure core is driven by the fleet's task; a revision is
-//! checked and written to disk on the blocking pool before it is in force, and what becomes of it is reported.
+//! This server's part in replicated configuration: the pure core is driven by the fleet's task; a revision
+//! is checked and written to disk on the blocking pool before it is in force, and what becomes of it is
+//! reported.
 
 use super::Server;
 use crate::lifecycle::reload;
@@ -144,9 +145,11 @@
         let publisher = self.member.publisher().unwrap_or("");
         let fetched = self.member.transferred().unwrap_or(0);
         let counts = serde_json::to_string(&self.member.counts).unwrap_or_default();
-        info!(target: "fleet", in_force, held, age_ms, stale, publisher, refused, fetched, counts, "replication");
+        info!(target: "fleet", in_force, held, age_ms, stale, publisher, refused, fetched, counts,
+            "replication");
         if *stale && (self.shown_at == 0 || now >= self.shown_at + SHOWN_EVERY || !self.shown.stale) {
-            warn!(target: "fleet", in_force, age_ms, "no word of the configuration's publisher: goes by the last good");
+            warn!(target: "fleet", in_force, age_ms,
+                "no word of the configuration's publisher: goes by the last good");
         }
         (self.shown, self.shown_at) = (shown, now);
     }
--- a/crates/server/src/memory/shared.rs
+++ b/crates/server/src/memory/shared.rs
@@ -242,8 +242,8 @@
     }
 }
 
-/// Leases, budgets of one unit: whoever coordinates a rollout holds the one, the publisher of configuration the
-/// other. A server only helps to give them.
+/// Leases, budgets of one unit: whoever coordinates a rollout holds the one, the publisher of configuration
+/// the other. A server only helps to give them.
 pub const ROLLOUTS: &str = "rollouts";
 pub const PUBLISHING: &str = "publishing";
 pub const LEASES: [&str; 2] = [ROLLOUTS, PUBLISHING];
--- a/crates/server/tests/fleet_scale.rs
+++ b/crates/server/tests/fleet_scale.rs
@@ -1,6 +1,6 @@
-//! Replicated configuration between processes of the program: three control machines and nine servers in three
-//! zones, each behind the fault relay. What is asserted is what processes report. Loopback only, bounded,
-//! every process ended by its id.
+//! Replicated configuration between processes of the program: three control machines and nine servers in
+//! three zones, each behind the fault relay. What is asserted is what processes report. Loopback only,
+//! bounded, every process ended by its id.
 
 use meadowstream_stand_ins::fleet::{Extra, Stage, wait};
 use std::net::UdpSocket;
--- a/crates/server/tests/stand_ins.rs
+++ b/crates/server/tests/stand_ins.rs
@@ -658,7 +658,8 @@
         (0..count).map(|n| format!(r#"<tenant name="t{n}" weight="{weight}"/>"#)).collect();
     let accounts = 2 * count + 16;
     format!(
-        "<tenants by=\"field\" field=\"venue\" origin=\"sender\">\n<ceilings accounts=\"{accounts}\"/>\n{}\n</tenants>",
+        "<tenants by=\"field\" field=\"venue\" origin=\"sender\">\n<ceilings accounts=\"{accounts}\"/>\n\
+         {}\n</tenants>",
         tenants.join("\n")
     )
 }
