--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -64,9 +64,9 @@
 
 Plays a scale model of N servers (690; 80 to 2000) in simulated time at five sizes, with failures, and
 measures real processes beside it: added time with 64,000 tenants, memory of connections, some dozens of
-processes. --quick ends within two minutes, the whole takes about a quarter of an hour. Prints a table of costs
-with their slopes (docs/CAPACITY.md); --json writes it to a file, too. Exit codes: 0 every bound holds, 1 one was
-passed, 2 wrong usage.
+processes. --quick ends within two minutes, the whole takes about a quarter of an hour. Prints a table of
+costs with their slopes (docs/CAPACITY.md); --json writes it to a file, too. Exit codes: 0 every bound holds,
+1 one was passed, 2 wrong usage.
 ";
 const ROLLOUT: &str = "\
 meadowstream rollout PLAN --options FILE [--state FILE] [--wait SECONDS]
