--- a/crates/capacity/src/day.rs
+++ b/crates/capacity/src/day.rs
@@ -152,6 +152,8 @@
     away: Vec<usize>,
     published: Vec<Published>,
     returned: Vec<Returned>,
+    /// Those that came back and have not come to the number of then.
+    returning: BTreeMap<usize, u64>,
     not_published: usize,
     restarts: usize,
     newest: u64,
@@ -184,6 +186,7 @@
             away: Vec::new(),
             published: Vec::new(),
             returned: Vec::new(),
+            returning: BTreeMap::new(),
             not_published: 0,
             restarts: 0,
             newest: 0,
@@ -198,7 +201,12 @@
             return;
         };
         self.newest = number;
-        let who = self.fleet.running().into_iter().filter(|server| !self.away.contains(server)).collect();
+        // Who was away or not there is counted from its return, until it has come up.
+        let fleet = &self.fleet;
+        self.returning
+            .retain(|server, number| fleet.member(*server).is_some_and(|member| member.in_force() < *number));
+        let counts = |server: &usize| !self.away.contains(server) && !self.returning.contains_key(server);
+        let who = self.fleet.running().into_iter().filter(counts).collect();
         self.published.push(Published { at: self.fleet.now(), number, who });
     }
 
@@ -219,6 +227,7 @@
         self.fleet.start(server);
         if !self.away.contains(&server) {
             self.returned.push(Returned { at: self.fleet.now(), server, number: self.newest, empty });
+            self.returning.insert(server, self.newest);
         }
     }
 
@@ -239,9 +248,10 @@
     fn heal(&mut self) {
         self.fleet.heal();
         let (at, number) = (self.fleet.now(), self.newest);
-        let back =
-            std::mem::take(&mut self.away).into_iter().filter(|server| self.fleet.member(*server).is_some());
-        self.returned.extend(back.map(|server| Returned { at, server, number, empty: false }));
+        let mut back = std::mem::take(&mut self.away);
+        back.retain(|server| self.fleet.member(*server).is_some());
+        self.returning.extend(back.iter().map(|server| (*server, number)));
+        self.returned.extend(back.into_iter().map(|server| Returned { at, server, number, empty: false }));
     }
 
     fn rack(&self) -> Vec<usize> {
--- a/crates/capacity/src/fleet.rs
+++ b/crates/capacity/src/fleet.rs
@@ -79,15 +79,18 @@
         }
     }
 
-    /// A fleet whose servers all know each other already.
-    pub fn settled(size: usize, settings: Settings, seed: u64) -> Result<Fleet, String> {
+    /// A fleet whose servers all know each other already, and the seeds: without these, parts that were cut off
+    /// for longer than those held down are remembered would not find each other again.
+    pub fn settled(size: usize, settings: Settings, seed: u64, seeds: &[usize]) -> Result<Fleet, String> {
         let mut fleet = Fleet::new(size, settings, seed);
         for server in 0..size {
             fleet.servers[server] = Some(fleet.hollow(server)?);
         }
         let ids: Vec<_> = fleet.servers.iter().flatten().map(|one| one.membership.me().clone()).collect();
+        let seeds: Vec<SocketAddr> = seeds.iter().map(|seed| Self::address(*seed)).collect();
         for server in 0..size {
             if let Some(hollow) = &mut fleet.servers[server] {
+                hollow.membership.join(&seeds, 0);
                 hollow.membership.restore(ids.iter().cloned(), 0);
                 hollow.membership.changes();
             }
--- a/crates/capacity/src/real.rs
+++ b/crates/capacity/src/real.rs
@@ -213,8 +213,10 @@
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct Dozens {
     pub processes: usize,
-    /// Resident bytes of a process alone with the control parts off, and of each of these.
+    /// Resident bytes and percent of a core of a process alone with the control parts off.
     pub resident_alone: f64,
+    pub processor_alone: f64,
+    /// Resident bytes of each of these.
     pub resident: f64,
     /// Percent of a core, and bytes that it put on the network a second, of each.
     pub processor: f64,
@@ -232,6 +234,9 @@
     let setup = |name: String, options| Setup { name, routes: 2, descriptors: 256, options, cores: CORES };
     let alone = Process::start(program, &setup("alone".into(), String::new()))?;
     std::thread::sleep(Duration::from_secs(2));
+    let (before, began) = (alone.processor()?, Instant::now());
+    std::thread::sleep(Duration::from_secs(seconds));
+    let processor_alone = (alone.processor()? - before) / began.elapsed().as_secs_f64() * 100.0;
     let resident_alone = alone.resident()? as f64;
     drop(alone);
     let first = Process::start(program, &setup("c0".into(), control("c0", processes, None)))?;
@@ -265,5 +270,5 @@
     let rates: Vec<f64> = all.iter().zip(&sent).filter_map(rate).collect();
     let bytes = rates.iter().sum::<f64>() / rates.len().max(1) as f64;
     let resident = all.iter().map(Process::resident).sum::<Result<u64>>()? as f64 / processes as f64;
-    Ok(Dozens { processes, resident_alone, resident, processor, bytes })
+    Ok(Dozens { processes, resident_alone, processor_alone, resident, processor, bytes })
 }
--- a/crates/capacity/src/report.rs
+++ b/crates/capacity/src/report.rs
@@ -212,13 +212,14 @@
         let (real, model) = (&self.dozens, &self.dozens_model);
         format!(
             "{} processes: {:.2} MB resident (alone {:.2}; the model's part {:.2}), {:.3}% of a core \
-             (model {:.3}), \
+             (alone {:.3}; the model's part {:.3}), \
              {:.0} bytes a second (model {:.0})",
             real.processes,
             real.resident / 1e6,
             real.resident_alone / 1e6,
             self.dozens_model_memory / 1e6,
             real.processor,
+            real.processor_alone,
             model.processor(),
             real.bytes,
             model.bytes()
