--- a/crates/capacity/src/fleet.rs
+++ b/crates/capacity/src/fleet.rs
@@ -79,8 +79,8 @@
         }
     }
 
-    /// A fleet whose servers all know each other already, and the seeds: without these, parts that were cut off
-    /// for longer than those held down are remembered would not find each other again.
+    /// A fleet whose servers all know each other already, and the seeds: without these, parts that were cut
+    /// off for longer than those held down are remembered would not find each other again.
     pub fn settled(size: usize, settings: Settings, seed: u64, seeds: &[usize]) -> Result<Fleet, String> {
         let mut fleet = Fleet::new(size, settings, seed);
         for server in 0..size {
