--- a/crates/capacity/src/model.rs
+++ b/crates/capacity/src/model.rs
@@ -97,6 +97,20 @@
     pub memory: f64,
     /// Of each server and second.
     pub costs: PerServer,
+    /// Of the control machine that publishes, where one does.
+    pub publisher: Option<PerServer>,
+}
+
+fn publisher(fleet: &Fleet) -> Option<usize> {
+    let publishes = |server: &usize| {
+        let member = fleet.server(*server).and_then(|one| one.replication.as_ref());
+        member.is_some_and(|member| member.is_publisher())
+    };
+    (0..CONTROL_MACHINES).find(publishes)
+}
+
+fn costs_of(fleet: &Fleet, server: Option<usize>) -> Option<Costs> {
+    fleet.server(server?).map(|one| one.costs)
 }
 
 #[derive(Clone, Copy, Debug, Default, Serialize)]
@@ -158,10 +172,15 @@
     let mut fleet = Fleet::settled(size, settings(size), scale.seed, &seeds())?;
     work(&mut fleet, scale.rest);
     let (costs, began) = (fleet.costs(), fleet.now());
+    let publishes = publisher(&fleet);
+    let control = costs_of(&fleet, publishes);
     work(&mut fleet, scale.rest);
-    let costs = PerServer::of(&fleet.costs().since(&costs), size, fleet.now() - began);
+    let span = fleet.now() - began;
+    let costs = PerServer::of(&fleet.costs().since(&costs), size, span);
+    let control = costs_of(&fleet, publishes).zip(control).map(|(after, before)| after.since(&before));
+    let publisher = control.map(|control| PerServer::of(&control, 1, span));
     let memory = allocated().saturating_sub(before) as f64 / size as f64;
-    Ok(Rest { size, memory, costs })
+    Ok(Rest { size, memory, costs, publisher })
 }
 
 /// The same with nothing to count and nothing wanted of the budget, as processes without callers are.
@@ -173,7 +192,7 @@
     fleet.run_until(2 * scale.rest * SECOND);
     let costs = PerServer::of(&fleet.costs().since(&costs), size, scale.rest * SECOND);
     let memory = allocated().saturating_sub(before) as f64 / size as f64;
-    Ok(Rest { size, memory, costs })
+    Ok(Rest { size, memory, costs, publisher: None })
 }
 
 /// The curves of a fleet at rest over its sizes.
--- a/crates/capacity/src/report.rs
+++ b/crates/capacity/src/report.rs
@@ -135,13 +135,15 @@
     let scale = if quick { small(4) } else { *scale };
     let hour = if quick { scale } else { small(4) };
     let minutes = Scale { region_apart: scale.region_apart.min(300), ..scale };
-    let plays: [(PlayIncident, Scale); 5] = [
+    let mut plays: Vec<(PlayIncident, Scale)> = vec![
         (model::rack_lost, scale),
         (model::zone_away, scale),
         (model::control_away, scale),
-        (model::region_apart, minutes),
         (model::region_apart, hour),
     ];
+    if !quick {
+        plays.push((model::region_apart, minutes));
+    }
     let of_day = match quick {
         true => day::Scale::quick(scale.servers, scale.seed),
         false => day::Scale::full(scale.servers, scale.seed),
