--- a/crates/server/tests/stand_ins.rs
+++ b/crates/server/tests/stand_ins.rs
@@ -20,6 +20,7 @@
 //! - `called TAG BODY`, `reply STATUS BODY [HEADER]`, `hang up` (on the call), `given up` (by the server),
 //!   `no records` (connections there are refused), `records full` (nobody accepts them), `no catalog`.
 //! - `many-tenants N WEIGHT` for options that name so many tenants `t0`, `t1`, ... of that weight;
+//!   `one-tenant NAME WEIGHT ACCOUNTS` for one alone, `forget log` for lines so far,
 //!   `until-weight NAME WEIGHT` asks for the shares until the log shows a tenant so; `pauses-at-most MS` for
 //!   the longest pause that the log shows of any change of settings.
 //! - `moves` (all but the balancers stand elsewhere now, and the server is told), `rewrite` (the file is as
@@ -633,6 +634,11 @@
                 self.signal("HUP");
             }
             ["many-tenants", count, weight] => self.options = Some(many_tenants(count, weight)),
+            ["one-tenant", name, weight, accounts] => self.options = Some(one_tenant(name, weight, accounts)),
+            ["forget", "log"] => {
+                self.seen.extend(self.log.try_iter());
+                self.seen.clear();
+            }
             ["until-weight", name, weight] => self.until_weight(name, weight),
             ["pauses-at-most", ms] => self.pauses_at_most(ms.parse().unwrap()),
             ["no", "records"] => self.records = None,
@@ -664,6 +670,13 @@
     )
 }
 
+fn one_tenant(name: &str, weight: &str, accounts: &str) -> String {
+    format!(
+        "<tenants by=\"field\" field=\"venue\" origin=\"sender\"><ceilings accounts=\"{accounts}\"/>\
+         <tenant name=\"{name}\" weight=\"{weight}\"/></tenants>"
+    )
+}
+
 impl Drop for Stage {
     fn drop(&mut self) {
         if let Some(server) = &mut self.server {
