--- a/crates/capacity/tests/model.rs
+++ b/crates/capacity/tests/model.rs
@@ -65,7 +65,7 @@
     assert!(large.memory > small.memory && large.memory < 2_000.0 * 2_000.0, "{small:?} {large:?}");
 }
 
-/// What a control machine spends at rest at the stated size, and what the log of 64,000 tenants holds and takes.
+/// What a control machine spends at rest at the stated size, and what the log of 64,000 tenants holds.
 #[test]
 #[ignore = "half a minute"]
 fn a_control_machine_at_the_stated_size() {
