crates/rate-limit: a bound on bytes that holds in any second; an unused token bucket is gone

Seen while looking for what passes 20 KB a second: replication's budget, a token bucket as deep as its rate, let twice bytes-a-second through in one second, where its page says "at the most". Cause: replication/src/budget.rs, room of a whole second at once. Change: SlidingWindow counts the last second by twentieths, in constant memory; replication uses it, and membership is to. It is a crate of its own since both do. shared-state's Bucket, used by nothing, is taken out.

--- /dev/null
+++ b/crates/rate-limit/tests/sliding_window.rs
@@ -0,0 +1,65 @@
+//! The bound over any second, what may not wait, and a clock that stands still or goes back.
+
+use meadowstream_rate_limit::{Nanos, SlidingWindow};
+use proptest::prelude::*;
+
+const SECOND: Nanos = 1_000_000_000;
+
+#[test]
+fn what_was_spent_comes_back_after_a_second() {
+    let mut window = SlidingWindow::new(100, 0);
+    assert!(window.take(60, 0) && window.take(40, SECOND / 2));
+    assert!(!window.take(1, SECOND - 1));
+    // The slot of the first is over at a twentieth, and counts for a second from then.
+    assert!(!window.take(1, SECOND + SECOND / 20 - 1));
+    assert!(window.take(60, SECOND + SECOND / 20));
+    assert_eq!(window.room(SECOND + SECOND / 20), 0);
+    assert_eq!(window.room(60 * SECOND), 100);
+}
+
+#[test]
+fn what_may_not_wait_is_counted_and_holds_up_the_rest() {
+    let mut window = SlidingWindow::new(100, 5 * SECOND);
+    window.charge(250, 5 * SECOND);
+    assert_eq!(window.room(6 * SECOND), 0);
+    assert!(window.take(100, 6 * SECOND + SECOND / 20));
+}
+
+#[test]
+fn a_clock_that_goes_back_forgets_nothing() {
+    let mut window = SlidingWindow::new(100, 10 * SECOND);
+    assert!(window.take(100, 10 * SECOND));
+    assert!(!window.take(1, 0));
+    assert!(!window.take(1, 10 * SECOND));
+}
+
+#[test]
+fn a_long_pause_forgets_all() {
+    let mut window = SlidingWindow::new(100, 0);
+    (0..20).for_each(|slot| window.charge(100, slot * SECOND / 20));
+    assert_eq!(window.room(u64::MAX), 100);
+}
+
+proptest! {
+    #[test]
+    fn no_second_takes_more_than_the_limit(
+        steps in proptest::collection::vec((0u64..SECOND / 2, 0u64..50), 1..200),
+        limit in 1u64..400,
+        start in any::<u32>(),
+    ) {
+        let mut now = u64::from(start);
+        let mut window = SlidingWindow::new(limit, now);
+        let mut taken = Vec::new();
+        for (gap, amount) in steps {
+            now += gap;
+            if window.take(amount, now) {
+                taken.push((now, amount));
+            }
+        }
+        for (from, _) in &taken {
+            let within = taken.iter().filter(|(at, _)| at >= from && *at < from + SECOND);
+            let sum: u64 = within.map(|(_, amount)| amount).sum();
+            prop_assert!(sum <= limit, "{} of {}", sum, limit);
+        }
+    }
+}
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -8,7 +8,6 @@
 //!
 //! `docs/replication.md` names the ways weighed and what is promised under which fault.
 
-pub mod budget;
 mod checkpoints;
 pub mod history;
 pub mod member;
--- a/crates/replication/src/member.rs
+++ b/crates/replication/src/member.rs
@@ -3,7 +3,6 @@
 //! it has a [`Replica`] beside it.
 
 use crate::Nanos;
-use crate::budget::ByteBudget;
 use crate::history::{CHECKPOINT_EVERY, Fault, History, Snapshot, Taken};
 use crate::message::{BODY_MAX, Fresh, Location, Message, REASON_MAX, Report};
 use crate::operator::Requests;
@@ -12,6 +11,7 @@
 use crate::revision::{Change, Entry, Revision};
 use crate::status::{Status, Waiting};
 use crate::transfer::Transfer;
+use meadowstream_rate_limit::SlidingWindow;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use std::sync::Arc;
@@ -92,7 +92,7 @@
     pub(crate) settings: Settings,
     pub(crate) history: History,
     pub(crate) peers: Peers,
-    pub(crate) budget: ByteBudget,
+    pub(crate) budget: SlidingWindow,
     pub(crate) transfer: Option<Transfer>,
     pub(crate) chunk_due: Nanos,
     pub(crate) control: Option<Control>,
@@ -149,7 +149,7 @@
             settings,
             history,
             peers: Peers::new(me),
-            budget: ByteBudget::new(rate, now),
+            budget: SlidingWindow::new(rate, now),
             transfer: None,
             chunk_due: 0,
             control,
@@ -399,7 +399,7 @@
 
     pub(crate) fn send(&mut self, to: &str, message: &Message, now: Nanos) {
         let body = message.encode();
-        if !self.budget.take(body.len(), now) {
+        if !self.budget.take(body.len() as u64, now) {
             self.counts.over_budget += 1;
             return;
         }
--- a/crates/shared-state/src/budget.rs
+++ b/crates/shared-state/src/budget.rs
@@ -588,25 +588,3 @@
     }
     0
 }
-
-/// Units a second, spent by what is held: never more than the rate over any span and a burst of a tenth of a
-/// second's worth, one at the least.
-#[derive(Clone, Debug, Default)]
-pub struct Bucket {
-    tokens: f64,
-    at: Nanos,
-}
-
-impl Bucket {
-    /// Whether one may be spent now at `rate` units a second.
-    pub fn spend(&mut self, time: Time, rate: u64) -> bool {
-        let passed = time.fast.saturating_sub(self.at) as f64 / 1e9;
-        // A rate that fell takes back what was saved at the rate before.
-        let burst = (rate as f64 / 10.0).max(if rate > 0 { 1.0 } else { 0.0 });
-        self.tokens = (self.tokens + passed * rate as f64).min(burst);
-        self.at = time.fast;
-        let spends = self.tokens >= 1.0;
-        self.tokens -= f64::from(spends);
-        spends
-    }
-}
