A bound on what the fleet's view sends in any second; a death that gossip lost is told

Seen: CAPACITY names 30 KB in a second from each server after a long cut, of 20 allowed. Change: bytes-a-second in <membership>. Gossip's packets are as short as half of it asks for; gossip and lists wait where the last second has no room. The capacity model sets 12,000. Gossip had not brought the death to one member, whose probes come round to it once in 300 s.

--- a/crates/capacity/src/model.rs
+++ b/crates/capacity/src/model.rs
@@ -31,6 +31,9 @@
 pub const BYTES_BOUND: f64 = 20_000.0;
 pub const PROCESSOR_BOUND: f64 = 1.1;
 pub const MEMORY_BOUND: f64 = 256.0 * 1024.0 * 1024.0;
+/// What of that the fleet's view may take, as an operator with this bound sets it: shared state takes most of
+/// the rest.
+const MEMBERSHIP_BYTES: u64 = 12_000;
 /// Keys that each server counts, and how often each grows.
 const COUNTED_KEYS: usize = 8;
 /// Units of the shared budget that each server wants.
@@ -69,6 +72,7 @@
 pub fn settings(size: usize) -> Settings {
     let mut membership = meadowstream_membership::Settings::lan("capacity", b"a key of the scale model");
     membership.expected_members = size as u32;
+    membership.bytes_a_second = MEMBERSHIP_BYTES;
     let servers = size as u64;
     let voters = (0..VOTERS).map(Fleet::name).collect();
     let budget = Plan::new("calls", 10 * servers, 1, servers, voters, 4 * SECOND, SECOND);
@@ -247,8 +251,10 @@
     pub joined_meanwhile: Option<usize>,
     /// Servers on the smaller side that held a lease at the end of the cut.
     pub leases_in_cut: Option<usize>,
-    /// Most bytes that servers sent on average in a second of the ten after the return.
-    pub burst_bytes: f64,
+    /// What a server sent on average in the second after the return in which all sent most.
+    pub burst: PerServer,
+    /// Most bytes a second that any one server, control machines aside, sent over ten seconds after the return.
+    pub burst_most: f64,
 }
 
 /// Longest time that one view is waited for.
@@ -292,17 +298,25 @@
     seconds(fleet.run_until_true(VIEW_STEP, VIEW_LIMIT, |fleet| fleet.agree(&running)))
 }
 
-/// What follows on a return: seconds until one view, and the most bytes that a server sent on average in one
-/// second until then and a while longer.
+/// What follows on a return: seconds until one view, and what a server sent on average in the busiest second
+/// until then and a while longer.
 struct Return {
     one_view: Option<f64>,
-    burst_bytes: f64,
+    burst: PerServer,
+    burst_most: f64,
+}
+
+/// Bytes that each server has sent, those that do not run and control machines aside.
+fn sent_bytes(fleet: &Fleet) -> Vec<u64> {
+    let of = |server: usize| fleet.server(server).map_or(0, |one| one.costs.bytes());
+    (CONTROL_MACHINES..fleet.len()).map(of).collect()
 }
 
 fn after_return(fleet: &mut Fleet) -> Return {
     let running = fleet.running();
     let began = fleet.now();
-    let mut after = Return { one_view: None, burst_bytes: 0.0 };
+    let mut sent_by_second = vec![sent_bytes(fleet)];
+    let mut after = Return { one_view: None, burst: PerServer::default(), burst_most: 0.0 };
     while fleet.now() - began < VIEW_LIMIT {
         let before = fleet.costs();
         let second = fleet.now() + SECOND;
@@ -312,15 +326,30 @@
             }
             fleet.run_until((fleet.now() + VIEW_STEP).min(second));
         }
-        let bytes = fleet.costs().since(&before).bytes() as f64 / running.len() as f64;
-        after.burst_bytes = after.burst_bytes.max(bytes);
+        sent_by_second.push(sent_bytes(fleet));
+        let sent = PerServer::of(&fleet.costs().since(&before), running.len(), SECOND);
+        if sent.bytes() > after.burst.bytes() {
+            after.burst = sent;
+        }
         if after.one_view.is_some() && fleet.now() - began >= BURST {
             break;
         }
     }
+    after.burst_most = most_of_one_server(&sent_by_second);
     after
 }
 
+/// The most bytes a second that one server sent over any [`BURST`], of what each had sent after each second.
+fn most_of_one_server(sent_by_second: &[Vec<u64>]) -> f64 {
+    let seconds = (BURST / SECOND) as usize;
+    let most_within = |span: &[Vec<u64>]| {
+        let (first, last) = (&span[0], &span[span.len() - 1]);
+        first.iter().zip(last).map(|(before, after)| after.saturating_sub(*before)).max().unwrap_or(0)
+    };
+    let most = sent_by_second.windows(seconds + 1).map(most_within).max().unwrap_or(0);
+    most as f64 / seconds as f64
+}
+
 /// A settled fleet that has run for a while, and chance of its own.
 fn prepared(scale: &Scale) -> Result<(Fleet, ChaCha8Rng), String> {
     let mut fleet = Fleet::settled(scale.servers, settings(scale.servers), scale.seed, &seeds())?;
@@ -340,7 +369,7 @@
     for server in &lost {
         fleet.start(*server, &seeds())?;
     }
-    let Return { one_view: returned, burst_bytes } = after_return(&mut fleet);
+    let Return { one_view: returned, burst, burst_most } = after_return(&mut fleet);
     let what = format!("a rack of {} lost at once, back after 60 s", lost.len());
     Ok(Incident {
         what,
@@ -350,7 +379,8 @@
         restarts: 0,
         joined_meanwhile: None,
         leases_in_cut: None,
-        burst_bytes,
+        burst,
+        burst_most,
     })
 }
 
@@ -365,7 +395,7 @@
     let leases_in_cut = Some(away.iter().filter(holds).count());
     let seen = (fleet.agree(&away) && fleet.agree(&rest)).then_some(0.0);
     fleet.heal();
-    let Return { one_view: returned, burst_bytes } = after_return(&mut fleet);
+    let Return { one_view: returned, burst, burst_most } = after_return(&mut fleet);
     Ok(Incident {
         what,
         servers: scale.servers,
@@ -374,7 +404,8 @@
         restarts: restarted.len(),
         joined_meanwhile: None,
         leases_in_cut,
-        burst_bytes,
+        burst,
+        burst_most,
     })
 }
 
@@ -408,7 +439,7 @@
     for server in seeds() {
         fleet.start(server, &seeds())?;
     }
-    let Return { one_view: returned, burst_bytes } = after_return(&mut fleet);
+    let Return { one_view: returned, burst, burst_most } = after_return(&mut fleet);
     let what = format!("all {CONTROL_MACHINES} control machines away for {} s", scale.control_away);
     Ok(Incident {
         what,
@@ -418,6 +449,7 @@
         restarts: restarted.len(),
         joined_meanwhile,
         leases_in_cut: None,
-        burst_bytes,
+        burst,
+        burst_most,
     })
 }
--- a/crates/capacity/src/report.rs
+++ b/crates/capacity/src/report.rs
@@ -180,8 +180,11 @@
     if day.p99 > day::IN_FORCE_BOUND {
         passed.push(format!("99 in 100 of changes in force on a server within {:.2} s", day.p99));
     }
-    for one in incidents.iter().filter(|one| one.burst_bytes > model::BYTES_BOUND) {
-        passed.push(format!("bytes a second after {}: {:.0}", one.what, one.burst_bytes));
+    for one in incidents.iter().filter(|one| one.burst_most > model::BYTES_BOUND) {
+        passed.push(format!(
+            "bytes a second of one server over 10 s after {}: {:.0}",
+            one.what, one.burst_most
+        ));
     }
     passed
 }
@@ -298,13 +301,18 @@
     let span = |span: Option<f64>| span.map_or("none in time".to_string(), |span| format!("{span:.2} s"));
     let mut line = format!(
         "{} servers, {}: one view of the rest {}, of all after the return {}; {} restarts, \
-         burst {:.0} bytes a second",
+         burst {:.0} bytes a second (membership {:.0}, shared state {:.0}, replication {:.0}), \
+         of one server {:.0} at the most over 10 s",
         one.servers,
         one.what,
         span(one.seen),
         span(one.returned),
         one.restarts,
-        one.burst_bytes
+        one.burst.bytes(),
+        one.burst.membership_bytes,
+        one.burst.shared_bytes,
+        one.burst.replication_bytes,
+        one.burst_most
     );
     if let Some(joined) = one.joined_meanwhile {
         line.push_str(&format!("; {joined} of those restarted had found the fleet meanwhile"));
--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -5,7 +5,8 @@
 //!   buckets alone. Two views that agree cost one datagram. Guards against halves that find each other by
 //!   single announces only: at 1,000 members no one view came within 600 s of a cut.
 //! - **Verdicts.** Whoever holds a member down that another still hears tells that member itself, so that it
-//!   takes its next incarnation at once; one is told for each datagram of members.
+//!   takes its next incarnation at once, and tells the other, which suspects it; one is told for each datagram
+//!   of members.
 //! - **Doubts.** The member whose probe failed tells the suspect itself, several times within the suspicion,
 //!   and the suspect answers. Guards against a suspicion or its refutation that gossip loses: each update is
 //!   sent a fixed number of times, so under loss a share of suspicions ended in a false death however long
@@ -36,7 +37,8 @@
     /// Members alive or suspect in the sender's view, of buckets whose marks differed; the receiver's own
     /// members of the buckets in `want` (a bit each) are wanted back.
     Members { want: u64, members: Vec<Member<Id>> },
-    /// The sender holds the receiver in this state (suspect or down), which the receiver may refute.
+    /// The sender holds this member in this state (suspect or down). The member itself may refute it; whoever
+    /// else holds it alive suspects it where it is down.
     Held(Member<Id>),
 }
 
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -16,6 +16,7 @@
 use envelope::{Drop, Kind, Replays, Sealer};
 use exchange::{Exchange, What};
 use foca::{Config, Foca, Identity, Notification, PostcardCodec, Runtime, State, Timer};
+use meadowstream_rate_limit::SlidingWindow;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -26,6 +27,8 @@
 
 pub type Nanos = u64;
 
+const SECOND: Nanos = 1_000_000_000;
+
 /// Longest name of a member, in bytes.
 pub const NAME_MAX: usize = 64;
 
@@ -67,13 +70,17 @@
     pub probe_rtt: Nanos,
     /// A suspect is declared down after this many probe periods.
     pub suspicion_multiplier: u32,
-    /// Largest body of a datagram in bytes (foca's packet).
+    /// Largest body of a datagram in bytes; those of gossip are shorter, see [`Settings::bytes_a_second`].
     pub packet_max: usize,
     /// Fleet size that the dissemination is tuned for; updates are sent about 4 log10(n+1) times.
     pub expected_members: u32,
     /// How often each member gossips to three others, and how often it announces itself to one again.
     pub gossip_period: Nanos,
     pub announce_period: Nanos,
+    /// Bytes that the view's own datagrams take in any second. Gossip in full packets takes half of them;
+    /// gossip and members' lists wait where there is no room, probes, answers and verdicts do not. What
+    /// carries shared state is not counted.
+    pub bytes_a_second: u64,
 }
 
 impl Settings {
@@ -89,6 +96,7 @@
             expected_members: 64,
             gossip_period: 200_000_000,
             announce_period: 10_000_000_000,
+            bytes_a_second: BYTES_A_SECOND,
         }
     }
 
@@ -114,15 +122,30 @@
         if !(1..=60).contains(&self.suspicion_multiplier) {
             return Err("suspicion-multiplier: 1 to 60".into());
         }
-        if !(256..=envelope::DATAGRAM_MAX - envelope::HEAD - envelope::TAG).contains(&self.packet_max) {
+        if !(PACKET_LEAST..=envelope::DATAGRAM_MAX - envelope::HEAD - envelope::TAG)
+            .contains(&self.packet_max)
+        {
             return Err("packet-max: 256 to 65,445 bytes".into());
         }
+        let least = (BYTES_LEAST_PACKETS * (self.packet_max + ENVELOPE)) as u64;
+        if self.bytes_a_second < least {
+            return Err(format!("bytes-a-second: {least} at least with packets of {}", self.packet_max));
+        }
         if self.expected_members == 0 || self.gossip_period == 0 || self.announce_period == 0 {
             return Err("expected-members, gossip-period and announce-period: above 0".into());
         }
         Ok(())
     }
 
+    /// Longest body of gossip, probes and their answers: half of the bytes of a second go to gossip where all
+    /// its packets are full, and half to what else there is. Guards against a second in which gossip alone
+    /// takes 22 kB a member, after a long cut of a large fleet; it may hurt how soon a large fleet joins.
+    fn gossip_packet(&self) -> usize {
+        let packets = GOSSIP_MEMBERS as u64 * SECOND.div_ceil(self.gossip_period);
+        let full = (self.bytes_a_second / (2 * packets)) as usize;
+        full.saturating_sub(ENVELOPE).clamp(PACKET_LEAST, self.packet_max)
+    }
+
     fn foca(&self) -> Config {
         let transmissions = (4.0 * ((self.expected_members as f64) + 1.0).log10()).ceil().clamp(1.0, 255.0);
         let periodic = |every: Nanos, members: usize| {
@@ -139,11 +162,11 @@
             suspect_to_down_after: Duration::from_nanos(self.suspicion()),
             // Down members are forgotten after a while, so that memory stays bounded by the live fleet.
             remove_down_after: Some(Duration::from_nanos(self.suspicion().saturating_mul(30))),
-            max_packet_size: NonZeroUsize::new(self.packet_max).expect("above 0"),
+            max_packet_size: NonZeroUsize::new(self.gossip_packet()).expect("above 0"),
             notify_down_members: true,
             periodic_announce: periodic(self.announce_period, 1),
             periodic_announce_to_down_members: periodic(self.announce_period, 2),
-            periodic_gossip: periodic(self.gossip_period, 3),
+            periodic_gossip: periodic(self.gossip_period, GOSSIP_MEMBERS),
         }
     }
 }
@@ -259,6 +282,21 @@
 /// leaves 0.36^8, under 1 in 3,000, that no answer comes.
 const TELLS: u64 = 8;
 
+/// About what an update of a member takes in a packet, and what is round each body, in bytes.
+const UPDATE_BYTES: usize = 64;
+const ENVELOPE: usize = envelope::HEAD + envelope::TAG;
+
+/// By default more than a member of a thousand sends: the fleet has one view soonest. A
+/// smaller figure keeps to a bound on the network's load, and one view of a large fleet takes longer.
+pub const BYTES_A_SECOND: u64 = 200_000;
+/// Smallest packet that holds the names of two members, and full ones that a second has to have room for.
+const PACKET_LEAST: usize = 256;
+const BYTES_LEAST_PACKETS: usize = 4;
+/// Part of the budget that gossip and lists of members leave alone.
+const RESERVE_PARTS: u64 = 8;
+/// Members that foca gossips to at a time.
+const GOSSIP_MEMBERS: usize = 3;
+
 /// Bodies of shared state that may wait to be taken; more are dropped.
 const CARRIED_MAX: usize = 1024;
 
@@ -281,6 +319,13 @@
     /// period. Guards against a first announce lost on the way: without it a server stays alone for good.
     rejoin_at: Option<Nanos>,
     rejoin_wait: Nanos,
+    /// What the view's own datagrams take. Guards against a burst of gossip and of members' lists when parts
+    /// of a large fleet find each other again; it may hurt how soon one view comes there. Probes, answers to
+    /// them and verdicts never wait.
+    budget: SlidingWindow,
+    bytes_a_second: u64,
+    gossip_packet: usize,
+    gossip_period: Nanos,
     probe_period: Nanos,
     announce_period: Nanos,
     suspicion: Nanos,
@@ -320,6 +365,10 @@
             seeds: Vec::new(),
             rejoin_at: None,
             rejoin_wait: settings.probe_period,
+            budget: SlidingWindow::new(settings.bytes_a_second, now),
+            bytes_a_second: settings.bytes_a_second,
+            gossip_packet: settings.gossip_packet(),
+            gossip_period: settings.gossip_period,
             probe_period: settings.probe_period,
             announce_period: settings.announce_period,
             suspicion: settings.suspicion(),
@@ -420,9 +469,9 @@
                 // Answered first, so that what just came from it does not go back.
                 if want != 0 {
                     self.answer(&from, want, 0);
-                    self.exchange_at = self.exchange_at.min(self.now + 2 * self.probe_period);
+                    self.compare_soon();
                 }
-                self.tell_one_held_down(&members);
+                self.tell_one_held_down(&from, &members);
                 let mut asked = Asked::default();
                 let others = members.into_iter().filter(|m| m.id().addr != mine.addr);
                 let applied = self.foca.apply_many(others, true, &mut asked);
@@ -430,8 +479,14 @@
                 applied.map_err(|_| Drop::Protocol)?;
             }
             What::Held(member) => {
-                if *member.id() != mine || member.state() == State::Alive {
+                if member.state() == State::Alive {
+                    return Ok(());
+                }
+                if *member.id() != mine {
                     // Of an incarnation that is no more: the later one has been told of already.
+                    if member.id().addr != mine.addr && member.state() == State::Down {
+                        self.suspect(member.id());
+                    }
                     return Ok(());
                 }
                 let mut asked = Asked::default();
@@ -461,25 +516,48 @@
         let start = self.below(members.len());
         members.rotate_left(start);
         for body in exchange::answers(&me, want, &members, self.sealer.body_max()) {
+            if (body.len() + ENVELOPE) as u64 > self.room() {
+                self.compare_soon();
+                return;
+            }
             self.send(to.addr, Kind::Exchange, &body);
         }
     }
 
+    /// Compares views again before an announce period is over, since this one is known to differ.
+    fn compare_soon(&mut self) {
+        self.exchange_at = self.exchange_at.min(self.now + 2 * self.probe_period);
+    }
+
     /// Of the members that another hears and this one holds down in the same incarnation, one at random is
-    /// told itself. One for each datagram, so that what is sent stays in proportion to what came.
-    fn tell_one_held_down(&mut self, heard: &[foca::Member<Id>]) {
+    /// told itself, and so is the one that hears it. One for each datagram, so that what is sent stays in
+    /// proportion to what came.
+    fn tell_one_held_down(&mut self, from: &Id, heard: &[foca::Member<Id>]) {
         let down: std::collections::HashSet<&Id> =
             self.foca.iter_membership_state().filter(|m| m.state() == State::Down).map(|m| m.id()).collect();
         let wronged: Vec<Id> = heard.iter().map(|m| m.id()).filter(|id| down.contains(id)).cloned().collect();
         if !wronged.is_empty() {
             let one = wronged[self.below(wronged.len())].clone();
-            self.tell(foca::Member::down(one));
+            self.tell(one.addr, foca::Member::down(one.clone()));
+            self.tell(from.addr, foca::Member::down(one));
         }
     }
 
-    /// Tells a member in what state this one holds it.
-    fn tell(&mut self, held: foca::Member<Id>) {
-        let to = held.id().addr;
+    /// Suspects a member that another holds down and this one alive, in the same incarnation. Guards against
+    /// a death that gossip did not bring here: this one's own probes come round to it after as many periods
+    /// as there are members. It may hurt a member that lives and was declared down wrongly; that one
+    /// refutes the suspicion, or takes its next incarnation.
+    fn suspect(&mut self, id: &Id) {
+        let known = self.foca.iter_members().find(|m| m.id() == id && m.state() == State::Alive);
+        let Some(refutations) = known.map(foca::Member::incarnation) else { return };
+        let suspected = foca::Member::new(id.clone(), refutations, State::Suspect);
+        let mut asked = Asked::default();
+        let _ = self.foca.apply_many(std::iter::once(suspected), true, &mut asked);
+        self.absorb(asked);
+    }
+
+    /// Tells a member in what state this one holds it, or another.
+    fn tell(&mut self, to: SocketAddr, held: foca::Member<Id>) {
         let said = Exchange { from: self.me().clone(), what: What::Held(held) };
         self.send(to, Kind::Exchange, &said.encode());
     }
@@ -500,7 +578,7 @@
             if doubt.next <= now {
                 doubt.next = now + (self.suspicion / TELLS).max(1);
                 let held = foca::Member::new(doubt.suspect.clone(), doubt.refutations, State::Suspect);
-                self.tell(held);
+                self.tell(doubt.suspect.addr, held);
             }
         }
         self.doubts = doubts;
@@ -551,6 +629,10 @@
                 break;
             }
             let timer = entry.remove();
+            if matches!(timer, Timer::PeriodicGossip(_)) && !self.may_gossip() {
+                self.schedule(self.now.saturating_add(self.gossip_period), timer);
+                continue;
+            }
             let mut asked = Asked::default();
             let _ = self.foca.handle_timer(timer, &mut asked);
             self.absorb(asked);
@@ -625,8 +707,7 @@
                 let (suspect, refutations) = (member_id.clone(), *incarnation);
                 self.doubts.push(Doubt { suspect, refutations, next: self.now, until: due });
             }
-            self.timer_seq += 1;
-            self.timers.insert((due, self.timer_seq), timer);
+            self.schedule(due, timer);
         }
         for (to, body) in asked.send {
             self.send(to.addr, Kind::Swim, &body);
@@ -639,6 +720,23 @@
         }
     }
 
+    fn schedule(&mut self, due: Nanos, timer: Timer<Id>) {
+        self.timer_seq += 1;
+        self.timers.insert((due, self.timer_seq), timer);
+    }
+
+    /// Whether the budget has room for a round of gossip; where few updates wait, its packets are short.
+    fn may_gossip(&mut self) -> bool {
+        let updates = UPDATE_BYTES * (self.foca.updates_backlog() + 1);
+        let packet = updates.min(self.gossip_packet) + ENVELOPE;
+        (GOSSIP_MEMBERS * packet) as u64 <= self.room()
+    }
+
+    /// Bytes that what may wait can take now; an eighth is left to what may not.
+    fn room(&mut self) -> u64 {
+        self.budget.room(self.now).saturating_sub(self.bytes_a_second / RESERVE_PARTS)
+    }
+
     fn send(&mut self, to: SocketAddr, kind: Kind, body: &[u8]) {
         self.sequence += 1;
         let incarnation = self.foca.identity().incarnation;
@@ -646,6 +744,9 @@
             Some(datagram) => {
                 self.counts.sent += 1;
                 self.counts.sent_bytes += datagram.len() as u64;
+                if kind != Kind::State {
+                    self.budget.charge(datagram.len() as u64, self.now);
+                }
                 self.out.push((to, datagram));
             }
             None => self.counts.unsendable += 1,
--- a/crates/options/src/lib.rs
+++ b/crates/options/src/lib.rs
@@ -81,6 +81,8 @@
     pub expected_members: u32,
     pub gossip_period: u64,
     pub announce_period: u64,
+    /// Bytes that the view's own datagrams take in any second.
+    pub bytes_a_second: u64,
 }
 
 /// A budget of the whole fleet for calls to what lies below (`docs/shared-state.md`). Times in nanoseconds.
@@ -610,6 +612,7 @@
     "expected-members",
     "gossip-period-ms",
     "announce-period-ms",
+    "bytes-a-second",
 ];
 /// Seeds named at most.
 const SEEDS_MAX: usize = 64;
@@ -651,5 +654,6 @@
         expected_members: element.whole("expected-members", 64, 1, 100_000)? as u32,
         gossip_period: element.span("gossip-period-ms", 200_000_000, 10, 60_000)?,
         announce_period: element.span("announce-period-ms", 10_000_000_000, 100, 600_000)?,
+        bytes_a_second: element.whole("bytes-a-second", 200_000, 6_000, 1_000_000_000)? as u64,
     })
 }
--- a/crates/options/tests/options.rs
+++ b/crates/options/tests/options.rs
@@ -123,7 +123,7 @@
     assert_eq!(m.bind, "127.0.0.1:7946".parse().unwrap());
     assert_eq!(m.seeds.len(), 2);
     assert_eq!((m.probe_period, m.probe_rtt), (500_000_000, 200_000_000));
-    assert_eq!((m.suspicion_multiplier, m.expected_members), (4, 64));
+    assert_eq!((m.suspicion_multiplier, m.expected_members, m.bytes_a_second), (4, 64, 200_000));
     assert!(
         Options::read("<meadowstream xmlns=\"urn:meadowstream:options:1\"/>").unwrap().membership.is_none()
     );
@@ -132,6 +132,8 @@
 #[test_case("bind=\"127.0.0.1:7946\"", "bind=\"nowhere\"", "line 2, <membership>: bind: \"nowhere\" is no"
     ; "bad bind")]
 #[test_case("fleet=\"quiz\"", "fleet=\"a fleet\"", "line 2, <membership>: fleet: 1 to 64" ; "spaced fleet")]
+#[test_case("fleet=\"quiz\"", "fleet=\"quiz\" bytes-a-second=\"5000\"",
+    "line 2, <membership>: bytes-a-second: 5000 is not" ; "too few bytes")]
 #[test_case("fleet=\"quiz\" ", "", "line 2, <membership>: fleet is missing" ; "no fleet")]
 #[test_case("probe-period-ms=\"500\"", "probe-period-ms=\"500\" probe-rtt-ms=\"500\"", "probe-rtt-ms: under"
     ; "rtt at period")]
