--- a/crates/replication/src/transfer.rs
+++ b/crates/replication/src/transfer.rs
@@ -59,7 +59,7 @@
         self.asked.as_ref().map_or(0, |(_, at)| at + CHUNK_PATIENCE)
     }
 
-    /// Who is best asked: whoever offered it, until it does not answer.
+    /// Who is best asked: whoever offered it or answered last, until it does not answer.
     pub fn source(&self) -> Option<&String> {
         self.source.as_ref()
     }
@@ -97,7 +97,10 @@
             self.state.set(key, value);
             self.after = Some(key.clone());
         }
-        (self.asked, self.tries) = (None, 0);
+        // Whoever answered has it: the next chunk is asked of the same one. Guards against a source that was
+        // lost once, after which each chunk was asked of a neighbour at random, most of which lack it too.
+        self.source = self.asked.take().map(|(of, _)| of);
+        self.tries = 0;
         match last {
             false if pairs.is_empty() => Step::Bad,
             false => Step::Next,
