--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -2,7 +2,8 @@
 //! built anew only when the view has changed: looking through 690 members for each datagram took more
 //! time than all the rest of the membership (`docs/CAPACITY.md`).
 
-use crate::{Membership, Nanos, State};
+use crate::{Membership, Nanos};
+use foca::State;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
