Decisions cost the same with 6,200 operations as with 60

Lines at fault: brain.rs longest_usual_run, is_flooded and last_chance (a vector of all usual times, twice a decision); hold/lib.rs first_due and next_due (a look at each operation's set); hold/line.rs Sums (a sum for each operation in each node). Change: the hold keeps sets and sums of those operations alone of which something waits; the largest usual run is kept as it changes (largest.rs); the shortest objective is found once.

--- a/crates/capacity/src/process.rs
+++ b/crates/capacity/src/process.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -47,6 +48,17 @@
     }
 }
 
+/// Has the kernel end the process with the thread that starts it, so that a measurement ended by a signal
+/// leaves none behind.
+fn end_with_this_thread(command: &mut Command) {
+    let ask = || match unsafe { libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    };
+    // SAFETY: between fork and exec only one system call is made, which allocates nothing and takes no lock.
+    unsafe { command.pre_exec(ask) };
+}
+
 fn configuration(setup: &Setup, interpreter: SocketAddr, catalog: SocketAddr) -> Value {
     let operation = |route: usize| {
         json!({"name": format!("route-{route}"), "effect": "repeatable", "target": 2_000_000,
@@ -88,7 +100,9 @@
         std::fs::write(&key, "a shared key of the capacity runs")?;
         use std::os::unix::fs::PermissionsExt;
         std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o600))?;
-        let mut child = Command::new(program)
+        let mut command = Command::new(program);
+        end_with_this_thread(&mut command);
+        let mut child = command
             .args(["serve", "--log", "json", "--config"])
             .arg(folder.join("config.json"))
             .arg("--options")
--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod table;
 
 use line::{Line, Pace};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 pub type Nanos = u64;
 
@@ -58,8 +58,9 @@
 #[derive(Debug, Default)]
 pub struct Hold {
     lines: Vec<Line>,
-    /// By operation: what is wanted first, and when it came.
-    wanted: Vec<BTreeSet<(Nanos, u64, usize)>>,
+    /// What is wanted first, and when it came, by operation: only those of which something waits, so that the
+    /// time of a question does not grow with how many there are.
+    wanted: BTreeMap<usize, BTreeSet<(Nanos, u64, usize)>>,
     /// Found to be due and not removed yet, by arrival.
     overdue: BTreeSet<(u64, usize)>,
     /// Some are known to be due before others were looked for.
@@ -73,8 +74,7 @@
     /// For ranks from 0 to one under `ranks`, and as many operations.
     pub fn new(ranks: usize, operations: usize) -> Self {
         Self {
-            lines: (0..ranks).map(|_| Line::new(operations)).collect(),
-            wanted: vec![BTreeSet::new(); operations],
+            lines: (0..ranks).map(|_| Line::new()).collect(),
             pace: Pace::new(operations),
             ..Self::default()
         }
@@ -90,7 +90,7 @@
 
     pub fn insert(&mut self, entry: Entry) {
         self.len += 1;
-        self.wanted[entry.operation].insert((entry.wanted, entry.seq, entry.key));
+        self.wanted.entry(entry.operation).or_default().insert((entry.wanted, entry.seq, entry.key));
         self.lines[entry.rank].insert(entry, &self.pace);
     }
 
@@ -99,12 +99,20 @@
         let found = self.lines[entry.rank].remove(entry, &self.pace);
         if found {
             self.len -= 1;
-            self.wanted[entry.operation].remove(&(entry.wanted, entry.seq, entry.key));
+            self.forget_wanted(entry);
             self.overdue.remove(&(entry.seq, entry.key));
         }
         found
     }
 
+    fn forget_wanted(&mut self, entry: &Entry) {
+        let Some(set) = self.wanted.get_mut(&entry.operation) else { return };
+        set.remove(&(entry.wanted, entry.seq, entry.key));
+        if set.is_empty() {
+            self.wanted.remove(&entry.operation);
+        }
+    }
+
     /// This one is due whatever it is wanted by.
     pub fn hurry(&mut self, entry: &Entry) {
         self.overdue.insert((entry.seq, entry.key));
@@ -118,15 +126,14 @@
 
     /// What runs next among these operations; where there is one, it walks what runs before it.
     pub fn next_of(&self, operation: impl Fn(usize) -> bool) -> Option<&Entry> {
-        let mut waiting = self.wanted.iter().enumerate().filter(|(_, set)| !set.is_empty());
-        waiting.find(|(op, _)| operation(*op))?;
+        self.wanted.keys().find(|op| operation(**op))?;
         self.iter().find(|entry| operation(entry.operation))
     }
 
     /// The earliest of what is wanted, by operation; `last_chance` turns it into when it must be given up.
     pub fn next_due(&self, last_chance: impl Fn(usize, Nanos) -> Nanos) -> Option<Nanos> {
-        let firsts = self.wanted.iter().enumerate();
-        firsts.filter_map(|(op, set)| set.first().map(|(wanted, ..)| last_chance(op, *wanted))).min()
+        let firsts = self.wanted.iter().filter_map(|(op, set)| Some((*op, set.first()?.0)));
+        firsts.map(|(op, wanted)| last_chance(op, wanted)).min()
     }
 
     /// Of all whose last chance has passed by `now` the one that came first. `last_chance` must grow with
@@ -137,8 +144,8 @@
         last_chance: impl Fn(usize, Nanos) -> Nanos,
     ) -> Option<(u64, usize)> {
         if self.overdue.is_empty() || std::mem::take(&mut self.hurries) {
-            for (op, set) in self.wanted.iter().enumerate() {
-                let due = set.iter().take_while(|(wanted, ..)| last_chance(op, *wanted) <= now);
+            for (op, set) in &self.wanted {
+                let due = set.iter().take_while(|(wanted, ..)| last_chance(*op, *wanted) <= now);
                 self.overdue.extend(due.map(|(_, seq, key)| (*seq, *key)));
             }
         }
--- a/crates/hold/src/line.rs
+++ b/crates/hold/src/line.rs
@@ -8,6 +8,7 @@
 //! into, and what is at last looked at entry by entry is judged by the present pace alone.
 
 use crate::{Able, Entry, Nanos, Usual};
+use std::cmp::Ordering;
 
 /// Most entries of a block: what one insertion may move and look through.
 const BLOCK: usize = 64;
@@ -65,12 +66,42 @@
     }
 }
 
+/// Sizes summed up by operation, in the order of operations: only those that have any, so that a sum costs
+/// what stands in it, however many operations there are.
+#[derive(Clone, Debug, Default)]
+struct Sizes(Vec<(usize, f64)>);
+
+impl Sizes {
+    fn add(&mut self, operation: usize, size: f64) {
+        match self.0.binary_search_by_key(&operation, |(other, _)| *other) {
+            Ok(at) => self.0[at].1 += size,
+            Err(at) => self.0.insert(at, (operation, size)),
+        }
+    }
+
+    /// The sums of two together, in the memory that this one has.
+    fn join(&mut self, a: &Sizes, b: &Sizes) {
+        self.0.clear();
+        let (mut a, mut b) = (a.0.as_slice(), b.0.as_slice());
+        while let ([first, after_a @ ..], [second, after_b @ ..]) = (a, b) {
+            self.0.push(match first.0.cmp(&second.0) {
+                Ordering::Less => *first,
+                Ordering::Greater => *second,
+                Ordering::Equal => (first.0, first.1 + second.1),
+            });
+            a = if first.0 <= second.0 { after_a } else { a };
+            b = if second.0 <= first.0 { after_b } else { b };
+        }
+        self.0.extend_from_slice(a);
+        self.0.extend_from_slice(b);
+    }
+}
+
 /// What is known of some entries that stand in a row.
 #[derive(Clone, Debug, Default)]
 struct Sums {
     count: usize,
-    /// By operation.
-    sizes: Vec<f64>,
+    sizes: Sizes,
     /// At the kept pace: their work, the longest of their times, and their lateness.
     work: f64,
     longest: f64,
@@ -81,12 +112,12 @@
 }
 
 impl Sums {
-    fn none(operations: usize) -> Self {
-        Self { sizes: vec![0.0; operations], lateness: f64::NEG_INFINITY, ..Self::default() }
+    fn none() -> Self {
+        Self { lateness: f64::NEG_INFINITY, ..Self::default() }
     }
 
     fn of(&mut self, entries: &[Entry], pace: &Pace) {
-        self.sizes.fill(0.0);
+        self.sizes.0.clear();
         (self.count, self.work, self.longest, self.lateness) = (entries.len(), 0.0, 0.0, f64::NEG_INFINITY);
         (self.latest, self.newest) = Default::default();
         for entry in entries {
@@ -95,7 +126,7 @@
             self.lateness = self.lateness.max(self.work + whole - pace.since_base(entry.wanted));
             self.work += usual.work * entry.size;
             self.longest = self.longest.max(whole);
-            self.sizes[entry.operation] += entry.size;
+            self.sizes.add(entry.operation, entry.size);
             self.latest = self.latest.max(latest(entry));
             self.newest = self.newest.max((!entry.promised, entry.tag, entry.seq, entry.key));
         }
@@ -103,7 +134,7 @@
 
     fn join(&mut self, a: &Sums, b: &Sums) {
         self.count = a.count + b.count;
-        self.sizes.iter_mut().zip(a.sizes.iter().zip(&b.sizes)).for_each(|(sum, (a, b))| *sum = a + b);
+        self.sizes.join(&a.sizes, &b.sizes);
         self.work = a.work + b.work;
         self.longest = a.longest.max(b.longest);
         self.lateness = a.lateness.max(a.work + b.lateness);
@@ -111,13 +142,12 @@
     }
 
     fn work_at(&self, usual: &[Usual]) -> f64 {
-        self.sizes.iter().zip(usual).map(|(size, usual)| size * usual.work).sum()
+        self.sizes.0.iter().map(|(operation, size)| size * usual[*operation].work).sum()
     }
 }
 
 #[derive(Debug, Default)]
 pub struct Line {
-    operations: usize,
     /// None of them empty.
     blocks: Vec<Vec<Entry>>,
     /// A binary tree laid out flat: node 1 is the root, a block's leaf stands at `leaves` plus its place.
@@ -139,8 +169,8 @@
 type Place = (usize, usize);
 
 impl Line {
-    pub fn new(operations: usize) -> Self {
-        let mut line = Self { operations, ..Self::default() };
+    pub fn new() -> Self {
+        let mut line = Self::default();
         line.lay_out();
         line
     }
@@ -206,7 +236,7 @@
 
     fn lay_out(&mut self) {
         self.leaves = self.blocks.len().next_power_of_two();
-        self.tree.resize_with(2 * self.leaves, || Sums::none(self.operations));
+        self.tree.resize_with(2 * self.leaves, Sums::none);
     }
 
     /// All sums anew.
--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -9,6 +9,7 @@
 
 use crate::decay::Decaying;
 use crate::invs::{Inv, Invs, State};
+use crate::largest::Largest;
 use crate::lq::{self, Fit, Plant};
 use crate::{Advert, Arrival, Below, Deployment, Effect, Ending, Gauges, Halting, Host, Nanos, Operation};
 use meadowstream_fair::{Fair, Outcome, Who};
@@ -112,6 +113,9 @@
     invs: Invs,
     values: Vec<f64>,
     learned: Vec<Learned>,
+    /// Usual times on the cores of all operations, and their shortest objective.
+    usual_runs: Largest,
+    shortest_objective: Nanos,
     tenants: Vec<(f64, Nanos)>,
     fair: Option<Fair>,
     tokens: Table,
@@ -186,6 +190,8 @@
                 site.run_memory,
                 site.halting == Halting::Pauses,
             ),
+            usual_runs: learned.iter().map(|l| l.work.mean()).collect(),
+            shortest_objective: site.operations.iter().map(|op| op.latency_objective).min().unwrap_or(PERIOD),
             able: Able { usual: learned.iter().map(Learned::usual).collect(), limit: site.cores, free: 0 },
             learned,
             tenants: site.tenant_allowance.iter().map(|each| (each / site.peers, now)).collect(),
@@ -274,7 +280,8 @@
                 learned.work.add(now, inv.on_cores as f64);
                 learned.whole.add(now, (now - inv.begun) as f64);
                 learned.base = (learned.base * BASE_DRIFT).min(learned.work.mean());
-                self.able.usual[inv.operation] = learned.usual();
+                let before = std::mem::replace(&mut self.able.usual[inv.operation], learned.usual());
+                self.usual_runs.replace(before.work, self.able.usual[inv.operation].work);
             }
             if ended || inv.answered {
                 self.remove(i);
@@ -347,9 +354,8 @@
             self.learn_limit(busy);
             self.regulate(busy, host);
             if let Some(fair) = &mut self.fair {
-                let shortest = self.site.operations.iter().map(|op| op.latency_objective).min();
                 let capacity = self.able.limit.floor() * self.site.reference;
-                fair.set_level(now, capacity, capacity * shortest.unwrap_or(PERIOD) as f64 * SHARE_HELD);
+                fair.set_level(now, capacity, capacity * self.shortest_objective as f64 * SHARE_HELD);
             }
             self.set_idle_limit(host);
             self.period_start = now;
@@ -463,7 +469,7 @@
         let oldest = on_cores.map(|(_, inv)| inv.since).min();
         let still = oldest.map_or(0, |since| self.now - since.max(self.last_progress));
         let failing = if self.failing.weight(self.now) > SEEN_FAILING { self.failing.mean() } else { 0.0 };
-        if still as f64 > self.longest_usual_run() * STALLED {
+        if still as f64 > self.usual_runs.get() * STALLED {
             1.0
         } else if failing > FAILING {
             failing.min(FAILING_MOST)
@@ -490,7 +496,8 @@
     fn answer_what_is_due(&mut self, host: &mut dyn Host) -> Option<()> {
         let active = |inv: &Inv| !inv.answered && self.now >= self.last_call_for(inv);
         let active = self.invs.first_active(active);
-        let i = self.invs.first_due(self.now, self.last_chance(), active)?;
+        let chance = last_chance(&self.able.usual, self.last_answers());
+        let i = self.invs.first_due(self.now, chance, active)?;
         self.answer(i, PERIOD, host)
     }
 
@@ -656,7 +663,8 @@
         });
         let refill = (self.count(&[State::AtCall]) > 0.0).then(|| self.below_full_at()).flatten();
         let active = active.chain(refill);
-        let next = active.chain(self.invs.hold.next_due(self.last_chance())).min();
+        let chance = last_chance(&self.able.usual, self.last_answers());
+        let next = active.chain(self.invs.hold.next_due(chance)).min();
         let next = next.filter(|next| *next < self.alarm_at)?;
         self.alarm_at = next;
         host.wake(next.saturating_sub(self.now).max(1), ALARM);
@@ -691,10 +699,6 @@
         self.count(&[State::AtCall, State::Calling]) > self.calls_limit
     }
 
-    fn longest_usual_run(&self) -> f64 {
-        self.learned.iter().map(|l| l.work.mean()).fold(0.0, f64::max)
-    }
-
     fn is_idempotent(&self, inv: &Inv) -> bool {
         self.site.operations[inv.operation].effect == Effect::Idempotent
     }
@@ -722,14 +726,6 @@
         inv.due.min(self.last_answers()).min(chance)
     }
 
-    /// The same for those in the hold, by operation and the time wanted, which is never after the due time.
-    /// Rule 3: what arrived later than the grace after the notice is not run; it is marked as it arrives.
-    fn last_chance(&self) -> impl Fn(usize, Nanos) -> Nanos + use<> {
-        let last = self.last_answers();
-        let whole: Vec<Nanos> = self.able.usual.iter().map(|usual| usual.whole as Nanos).collect();
-        move |operation, wanted| wanted.saturating_sub(whole[operation]).min(last)
-    }
-
     fn last_answers(&self) -> Nanos {
         self.leave.map_or(Nanos::MAX, |(_, stop)| stop.saturating_sub(2 * self.site.answer_grace))
     }
@@ -740,13 +736,12 @@
     }
 
     fn arrears(&self) -> f64 {
-        (self.unread() - self.longest_usual_run() * UNREAD_USUAL).max(0.0)
+        (self.unread() - self.usual_runs.get() * UNREAD_USUAL).max(0.0)
     }
 
     /// Reading alone overloads the server: only callers that stay away can help it.
     fn is_flooded(&self) -> bool {
-        let objective = self.site.operations.iter().map(|op| op.latency_objective).min().unwrap_or(PERIOD);
-        self.unread() > FLOODED * objective as f64
+        self.unread() > FLOODED * self.shortest_objective as f64
     }
 
     fn takes_more_than_its_share(&mut self, tenant: usize) -> bool {
@@ -839,3 +834,9 @@
         self.invs.remove(i);
     }
 }
+
+/// [`Brain::last_call_for`] for those in the hold, by operation and the time wanted, which is never after the
+/// due time. Rule 3: what arrived later than the grace after the notice is not run; it is marked as it arrives.
+fn last_chance(usual: &[Usual], last: Nanos) -> impl Fn(usize, Nanos) -> Nanos + '_ {
+    move |operation, wanted| wanted.saturating_sub(usual[operation].whole as Nanos).min(last)
+}
--- a/crates/meadowstream/src/lib.rs
+++ b/crates/meadowstream/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod brain;
 pub mod decay;
 mod invs;
+mod largest;
 pub mod lq;
 
 pub type Nanos = u64;
--- /dev/null
+++ b/crates/meadowstream/tests/operations.rs
@@ -0,0 +1,131 @@
+//! Many operations: what one decision costs does not grow with them, and what is kept of all of them at once
+//! follows what each is learned to take.
+
+use meadowstream::brain::{Brain, TICK};
+use meadowstream::{
+    Advert, Arrival, Below, Deployment, Effect, Ending, Gauges, Halting, Host, Nanos, Operation,
+};
+use std::time::{Duration, Instant};
+
+const START: Nanos = 1_790_000_000_000_000_000;
+const MILLISECOND: Nanos = 1_000_000;
+const SECOND: Nanos = 1_000 * MILLISECOND;
+const HOUR: Nanos = 3_600 * SECOND;
+const OBJECTIVE: Nanos = 2 * SECOND;
+
+/// Remembers whether the server was last said to be healthy.
+struct Health(bool);
+
+impl Host for Health {
+    fn run(&mut self, _inv: u64) {}
+    fn stop(&mut self, _inv: u64) {}
+    fn throttle(&mut self, _inv: u64, _no_retry: bool, _stay_away: Nanos) {}
+    fn give_up(&mut self, _inv: u64) {}
+    fn call(&mut self, _inv: u64, _timeout: Nanos) {}
+    fn skip_call(&mut self, _inv: u64) {}
+    fn remember(&mut self, _inv: u64, _life: Nanos) {}
+    fn forget(&mut self, _inv: u64) {}
+    fn reuse(&mut self, _inv: u64) {}
+    fn health(&mut self, good: bool, _stored: bool) {
+        self.0 = good;
+    }
+    fn advertise(&mut self, _value: f64) {}
+    fn close_idle(&mut self, _after: Nanos) {}
+    fn wake(&mut self, _after: Nanos, _token: u32) {}
+    fn log(&mut self, _line: &str) {}
+}
+
+fn brain(operations: usize) -> Brain {
+    let operation = Operation {
+        effect: Effect::Idempotent,
+        latency_objective: OBJECTIVE,
+        client_timeout: 2 * OBJECTIVE,
+        token_window: HOUR,
+        billed_value: 1.0,
+        late_value: 0.0,
+        without_call_value: 0.0,
+        calls: true,
+    };
+    let site = Deployment {
+        operations: vec![operation; operations],
+        tenant_allowance: Vec::new(),
+        over_share_value: 1.0,
+        fair: None,
+        peers: 1.0,
+        callers: 1.0,
+        called_by_own: false,
+        cores: 4.0,
+        memory_kb: 1e9,
+        run_memory: 1.0,
+        entry_kb: 1.0,
+        halting: Halting::Discards,
+        below: Below::Nothing,
+        advert: Advert::Weight,
+        stay_away_max: SECOND,
+        idle_max: HOUR,
+        retries_marked: false,
+        drain_grace: SECOND,
+        answer_grace: 50 * MILLISECOND,
+        survivable_crowd: 4.0,
+        cold: false,
+        cold_speed: 1.0,
+        reference: 0.9,
+        cold_for: 1,
+    };
+    Brain::new(site, 1, START, &mut Health(true))
+}
+
+fn run_one(brain: &mut Brain, at: Nanos, id: u64, operation: usize, took: Nanos) {
+    let arrival = Arrival { id, operation, held_kb: 1.0, ..Arrival::default() };
+    brain.arrived(at, arrival, &mut Health(true));
+    brain.finished(at + took, id, Ending::Succeeded, &mut Health(true));
+}
+
+/// The quickest of a few rounds: what else the machine does only makes some of them slower.
+fn quickest_round(operations: usize) -> Duration {
+    const ROUNDS: u64 = 7;
+    const RUNS: u64 = 200;
+    let mut brain = brain(operations);
+    let mut round = |round: u64| {
+        let began = Instant::now();
+        for run in 0..RUNS {
+            let id = round * RUNS + run + 1;
+            run_one(&mut brain, START + id * 10 * MILLISECOND, id, id as usize % operations, MILLISECOND);
+        }
+        began.elapsed()
+    };
+    (0..ROUNDS).map(&mut round).min().expect("rounds")
+}
+
+#[test]
+fn a_decision_costs_the_same_with_thousands_of_operations() {
+    let (few, many) = (quickest_round(60), quickest_round(6_200));
+    eprintln!("200 runs: {few:?} with 60 operations, {many:?} with 6,200");
+    assert!(many < few * 8, "200 runs: {few:?} with 60 operations, {many:?} with 6,200");
+}
+
+/// Runs are taken to stand still after six times the longest usual one; that follows an operation that was
+/// the longest and is no more.
+#[test]
+fn what_the_longest_run_takes_falls_with_the_operation_that_took_longest() {
+    let mut brain = brain(2);
+    let (mut at, mut id) = (START, 0);
+    let mut runs = |brain: &mut Brain, operation: usize, took: Nanos| {
+        for _ in 0..300 {
+            id += 1;
+            run_one(brain, at, id, operation, took);
+            at += SECOND;
+        }
+        at
+    };
+    runs(&mut brain, 0, MILLISECOND);
+    runs(&mut brain, 1, 400 * MILLISECOND);
+    let now = runs(&mut brain, 1, 2 * MILLISECOND);
+    let stuck = Arrival { id: 1_000_000, operation: 0, held_kb: 1.0, ..Arrival::default() };
+    let mut host = Health(true);
+    brain.arrived(now, stuck, &mut host);
+    brain.woken(now + 10 * MILLISECOND, TICK, Gauges::default(), &mut host);
+    assert!(host.0, "ten milliseconds are under six times two");
+    brain.woken(now + 60 * MILLISECOND, TICK, Gauges::default(), &mut host);
+    assert!(!host.0, "sixty milliseconds are thirty usual runs: nothing moves");
+}
