--- a/crates/capacity/src/model.rs
+++ b/crates/capacity/src/model.rs
@@ -253,7 +253,8 @@
     pub leases_in_cut: Option<usize>,
     /// What a server sent on average in the second after the return in which all sent most.
     pub burst: PerServer,
-    /// Most bytes a second that any one server, control machines aside, sent over ten seconds after the return.
+    /// Most bytes a second that any one server, control machines aside, sent over ten seconds after the
+    /// return.
     pub burst_most: f64,
 }
 
--- a/crates/meadowstream/src/brain.rs
+++ b/crates/meadowstream/src/brain.rs
@@ -836,7 +836,8 @@
 }
 
 /// [`Brain::last_call_for`] for those in the hold, by operation and the time wanted, which is never after the
-/// due time. Rule 3: what arrived later than the grace after the notice is not run; it is marked as it arrives.
+/// due time. Rule 3: what arrived later than the grace after the notice is not run; it is marked as it
+/// arrives.
 fn last_chance(usual: &[Usual], last: Nanos) -> impl Fn(usize, Nanos) -> Nanos + '_ {
     move |operation, wanted| wanted.saturating_sub(usual[operation].whole as Nanos).min(last)
 }
--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -4,9 +4,9 @@
 //!   its view: a mark for each of 64 buckets of members. Where marks differ both send the members of those
 //!   buckets alone. Two views that agree cost one datagram. Guards against halves that find each other by
 //!   single announces only: at 1,000 members no one view came within 600 s of a cut.
-//! - **Verdicts.** Whoever holds a member down that another still hears tells that member itself, so that it
-//!   takes its next incarnation at once, and tells the other, which suspects it; one is told for each datagram
-//!   of members.
+//! - **Verdicts.** Whoever holds a member down that another still hears tells that member itself, so that
+//!   it takes its next incarnation at once, and tells the other, which suspects it; one is told for each
+//!   datagram of members.
 //! - **Doubts.** The member whose probe failed tells the suspect itself, several times within the suspicion,
 //!   and the suspect answers. Guards against a suspicion or its refutation that gossip loses: each update is
 //!   sent a fixed number of times, so under loss a share of suspicions ended in a false death however long
