Processes of the program play a bound on the view's bytes, and say in the log what it is

Seen at the review: with the line in configuration.rs that hands bytes-a-second to the core left out, no test failed. "joining" has the figure now, and fleet_membership starts four processes with 20,000, cuts them in halves and heals them; without the line it fails at the figure.

--- a/crates/server/tests/fleet_membership.rs
+++ b/crates/server/tests/fleet_membership.rs
@@ -3,7 +3,7 @@
 //! processes themselves write to their logs (JSON lines), never on the relay's word. Each process is killed
 //! when its stage ends, whatever the outcome.
 
-use meadowstream_stand_ins::fleet::{PROBE_MS, SUSPICION, Stage};
+use meadowstream_stand_ins::fleet::{Extra, PROBE_MS, SUSPICION, Stage};
 use std::net::UdpSocket;
 use std::path::Path;
 use std::process::{Command, Stdio};
@@ -76,6 +76,26 @@
     agreed(&stage, &all(6), Duration::from_secs(10));
 }
 
+/// Gossip in short packets, as a bound on the view's bytes makes them.
+#[test]
+fn halves_with_a_bound_on_bytes_have_one_view_after_the_heal() {
+    let extra = Extra { membership: "bytes-a-second=\"20000\"".to_string(), ..Extra::default() };
+    let program = Path::new(env!("CARGO_BIN_EXE_meadowstream"));
+    let stage = Stage::with(program, 4, 4, 18, extra).unwrap();
+    for i in 0..4 {
+        assert_eq!(stage.lines(i, "joining")[0]["bytes_a_second"], 20_000, "s{i} goes by its options");
+    }
+    agreed(&stage, &all(4), Duration::from_secs(15));
+    stage.relay.set(|f| {
+        f.groups.extend([(2, 1), (3, 1)]);
+        f.partition(0, 1);
+    });
+    agreed(&stage, &[0, 1], Duration::from_secs(10));
+    agreed(&stage, &[2, 3], Duration::from_secs(10));
+    stage.relay.set(|f| f.heal());
+    agreed(&stage, &all(4), Duration::from_secs(10));
+}
+
 /// Guards the suspicion that nobody ended: before each member timed suspects out by itself, a member stayed
 /// suspect in every other view after such a cut (2 of about 9 runs).
 #[test]
--- a/crates/stand-ins/src/fleet.rs
+++ b/crates/stand-ins/src/fleet.rs
@@ -57,6 +57,8 @@
     pub cores: f64,
     /// Where each one's calls go.
     pub records: Vec<SocketAddr>,
+    /// Attributes of `<membership>` beside those that each process has.
+    pub membership: String,
     /// Elements of the options beside `<membership>`.
     pub options: String,
     /// More of them, for each server its own.
@@ -144,11 +146,12 @@
             r#"<meadowstream xmlns="urn:meadowstream:options:1">
   <membership bind="127.0.0.1:0" advertise="{face}" name="s{i}" fleet="rehearsal" key-file="key"
       probe-period-ms="{PROBE_MS}" probe-rtt-ms="80" suspicion-multiplier="{SUSPICION}" gossip-period-ms="100"
-      announce-period-ms="1000" expected-members="{n}">
+      announce-period-ms="1000" expected-members="{n}" {membership}>
     <seed address="{seed}"/>
   </membership>
   {extra}{own}
 </meadowstream>"#,
+            membership = self.extra.membership,
             extra = self.extra.options,
             own = self.extra.own_options.get(i).map_or("", String::as_str),
             face = self.relay.face(i),
