A restart with <rollout program> serves before the program's own file has been read and hashed

Change: the file is opened at the start, so that one that cannot be read still refuses it; it is read and hashed on the blocking pool beside the tasks that serve, and orders on the program are not answered until then, which the coordinator asks again. The test is as it was.

--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -1,7 +1,7 @@
 //! The start: one thread, one executor, the tasks.
 
 use super::reload::{self, Changes};
-use super::tasks::rollout::Rollout;
+use super::tasks::rollout::{self, Rollout};
 use super::tasks::{Input, Server, accept, catalog, decisions::Decisions, fleet, link};
 use super::{clock::Clock, configuration::Configuration, drain, signals};
 use crate::memory::connections::{Connections, Standing};
@@ -92,6 +92,7 @@
     });
     executor.spawn(signals::heed(server.clone(), signals, ended, stay)).detach();
     executor.spawn(link::keep(server.clone())).detach();
+    executor.spawn(rollout::know_program(server.clone())).detach();
     executor.spawn(catalog::report(server.clone())).detach();
     executor.spawn(Decisions::new(server.clone()).run(queue)).detach();
     if let Some((socket, given)) = membership {
--- a/crates/server/src/lifecycle/tasks/rollout.rs
+++ b/crates/server/src/lifecycle/tasks/rollout.rs
@@ -23,9 +23,8 @@
     candidate: Candidate,
     /// What each server of the fleet runs.
     pub abouts: RefCell<Abouts>,
-    /// Hash of this program's own file, and whether it is one that a change named.
-    program: u64,
-    program_adopted: bool,
+    /// Not known until [`know_program`] has read it; 0 where no change of the program may come.
+    program: Cell<Option<OwnProgram>>,
     /// Told once it is to end for another program to be started.
     leave: Sender<()>,
     /// For how long a plan that is under way here is not given up for another.
@@ -38,6 +37,13 @@
     intervals: Cell<u64>,
 }
 
+/// Hash of this program's own file, and whether it is one that a change named.
+#[derive(Clone, Copy, Debug)]
+struct OwnProgram {
+    hash: u64,
+    adopted: bool,
+}
+
 /// The last order that was taken.
 #[derive(Default)]
 struct Last {
@@ -55,20 +61,19 @@
         operations: &[String],
         leave: Sender<()>,
     ) -> Result<Rollout, String> {
-        let own = || std::env::current_exe().and_then(std::fs::read);
-        // Only where a change of the program may come: the file is large.
-        let own = candidate.program.as_ref().map(|_| own()).transpose();
-        let own = own.map_err(|error| format!("cannot read this program: {error}"))?;
-        let program = own.map_or(0, |own| hash_of(&own));
-        let marked = std::fs::read_to_string(&candidate.program_mark).unwrap_or_default();
+        let may_change = candidate.program.is_some();
+        if may_change {
+            let own = std::env::current_exe().and_then(std::fs::File::open);
+            own.map_err(|error| format!("cannot read this program: {error}"))?;
+        }
+        let program = (!may_change).then_some(OwnProgram { hash: 0, adopted: false });
         let settings = candidate.adopted.unwrap_or(candidate.own);
         let version = env!("CARGO_PKG_VERSION").to_string();
         let about = About { name: me.name, incarnation: me.incarnation, change: 0, version, settings };
         Ok(Rollout {
             record: Record::new(operations)?,
             abouts: RefCell::new(Abouts::new(about, ABOUTS_MAX)),
-            program,
-            program_adopted: marked.starts_with(&format!("{program:016x} ")),
+            program: Cell::new(program),
             leave,
             stands: Cell::new(candidate.adopted),
             candidate,
@@ -81,20 +86,42 @@
     }
 }
 
-/// An order, as an authenticated member gave it. `None` where there is nothing to answer: it is stale, or the
-/// same once more.
+/// Reads the program's own file, where a change of it may come, beside the tasks that serve: it is large, and
+/// read before these a restart left callers without an answer for as long.
+pub async fn know_program(server: Rc<Server>) {
+    let Some(rollout) = server.rollout.as_ref().filter(|rollout| rollout.program.get().is_none()) else {
+        return;
+    };
+    let mark = rollout.candidate.program_mark.clone();
+    let read = blocking::unblock(move || -> std::io::Result<OwnProgram> {
+        let hash = hash_of(&std::env::current_exe().and_then(std::fs::read)?);
+        let marked = std::fs::read_to_string(mark).unwrap_or_default();
+        Ok(OwnProgram { hash, adopted: marked.starts_with(&format!("{hash:016x} ")) })
+    });
+    match read.await {
+        Ok(program) => rollout.program.set(Some(program)),
+        Err(error) => warn!(target: "fleet", %error, "cannot read this program: no order on it is answered"),
+    }
+}
+
+/// An order, as an authenticated member gave it. `None` where there is nothing to answer: it is stale, the
+/// same once more, or on a program that has not been read yet, which is asked again.
 pub fn obey(server: &Rc<Server>, rollout: &Rollout, order: Order) -> Option<Report> {
     let now = server.clock.now();
     let mut last = rollout.last.borrow_mut();
     if (order.life, order.number) <= (last.life, last.number) {
         return None;
     }
+    let program = match order.kind {
+        Kind::Settings => None,
+        Kind::Program => Some(rollout.program.get()?),
+    };
     let under_way = rollout.stands.get().is_some() && now < last.at + rollout.lease;
     let report = |refused| {
         let stands = rollout.stands.get();
-        let (settings, adopted) = match order.kind {
-            Kind::Settings => (stands.unwrap_or(rollout.candidate.own), stands.is_some()),
-            Kind::Program => (rollout.program, rollout.program_adopted),
+        let (settings, adopted) = match program {
+            None => (stands.unwrap_or(rollout.candidate.own), stands.is_some()),
+            Some(program) => (program.hash, program.adopted),
         };
         Report {
             number: order.number,
@@ -116,9 +143,9 @@
     *last = Last { plan: order.plan, life: order.life, number: order.number, at: now };
     drop(last);
     let (kind, adopt) = (order.kind, order.adopt);
-    let does = match kind {
-        Kind::Settings => adopt == rollout.stands.get(),
-        Kind::Program => adopt == rollout.program_adopted.then_some(rollout.program),
+    let does = match program {
+        None => adopt == rollout.stands.get(),
+        Some(program) => adopt == program.adopted.then_some(program.hash),
     };
     if !does && !rollout.changing.replace(true) {
         let server2 = server.clone();
