--- a/crates/server/src/lifecycle/tasks/fleet.rs
+++ b/crates/server/src/lifecycle/tasks/fleet.rs
@@ -41,8 +41,8 @@
         Err(fault) => return warn!(target: "fleet", %fault, "membership off"),
     };
     info!(target: "fleet", member = me.name, %addr, %bound, incarnation = me.incarnation,
-        fleet = fleet.settings.fleet, seeds = fleet.seeds.len(), bytes_a_second = fleet.settings.bytes_a_second,
-        "joining");
+        fleet = fleet.settings.fleet, seeds = fleet.seeds.len(),
+        bytes_a_second = fleet.settings.bytes_a_second, "joining");
     let given = server.configuration.options.borrow().replication.clone();
     let replication = given
         .zip(server.configuration.replication_file())
