Test doubles say when the service held a call, and which calls were never sent

What was missing to tell the hypotheses about fleet_state apart: the downstream service records reference, stated wait, arrival and end of each call by the Unix clock; log lines of a fleet keep the time at which they were written; a load counts calls that it never sent (no connection had capacity), calls whose connection broke and replies that nobody awaited apart. A fleet whose views do not agree in time reports each server's process state, its view lines and changes, and the relay's counts.

--- a/crates/cli/tests/fleet_state.rs
+++ b/crates/cli/tests/fleet_state.rs
@@ -84,6 +84,8 @@
         all.succeeded += each.succeeded;
         all.throttled += each.throttled;
         (all.errored, all.none) = (all.errored + each.errored, all.none + each.none);
+        (all.unsent, all.broken) = (all.unsent + each.unsent, all.broken + each.broken);
+        all.unexpected += each.unexpected;
     }
     all
 }
--- a/crates/test-doubles/src/balancers.rs
+++ b/crates/test-doubles/src/balancers.rs
@@ -74,6 +74,8 @@
     pub unexpected_replies: Cell<u64>,
     /// Calls whose connection broke.
     pub broken_calls: Cell<u64>,
+    /// Calls that were not sent: no connection had capacity for them, or none could be made.
+    pub unsent_calls: Cell<u64>,
     /// Connections made.
     pub connects: Cell<u64>,
 }
@@ -92,6 +94,7 @@
             executor,
             unexpected_replies: Cell::new(0),
             broken_calls: Cell::new(0),
+            unsent_calls: Cell::new(0),
             connects: Cell::new(0),
         })
     }
@@ -99,7 +102,10 @@
     /// Sends a call and awaits its reply; `None` when no connection has capacity for the call, or its
     /// connection broke.
     pub async fn call(self: &Rc<Self>, operation: &str, fields: &str, body: &[u8]) -> Option<Reply> {
-        let connection = self.connection().await.ok()??;
+        let Ok(Some(connection)) = self.connection().await else {
+            self.unsent_calls.set(self.unsent_calls.get() + 1);
+            return None;
+        };
         let tag = connection.last_tag.get() + 1;
         connection.last_tag.set(tag);
         let (caller, reply): (Sender<Reply>, Receiver<Reply>) = bounded(1);
--- a/crates/test-doubles/src/downstream_service.rs
+++ b/crates/test-doubles/src/downstream_service.rs
@@ -2,9 +2,22 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// One call as the service saw it, by the Unix clock, so that it can be laid beside the logs of the callers.
+#[derive(Clone, Copy, Debug)]
+pub struct ServedCall {
+    /// The caller's reference, from `Op-Of`.
+    pub reference: u64,
+    /// How long the caller says that it waits, from `Op-Wait-Ms`, in milliseconds.
+    pub wait_ms: u64,
+    /// When the request had been read, in microseconds.
+    pub arrived_us: u64,
+    /// When the call was over, in microseconds.
+    pub ended_us: u64,
+}
 
 /// What the service does and has done. A call is in flight for its whole time, cancelled or not.
 #[derive(Default)]
@@ -21,6 +34,22 @@
     pub most_in_flight: AtomicU64,
     /// Whether each call fails at once with status 500.
     pub fails: AtomicBool,
+    served: Mutex<Vec<ServedCall>>,
+}
+
+impl DownstreamService {
+    /// The calls that were served, in the order in which they ended; those that failed at once are left out.
+    pub fn served(&self) -> Vec<ServedCall> {
+        self.served.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn record(&self, call: ServedCall) {
+        self.served.lock().unwrap_or_else(PoisonError::into_inner).push(call);
+    }
+}
+
+fn unix_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as u64)
 }
 
 /// Starts a service on loopback whose calls take `call_time`: a thread for each connection, all end with the
@@ -43,7 +72,8 @@
 /// Serves one connection until the caller closes it.
 fn serve(stream: TcpStream, service: &DownstreamService) -> std::io::Result<()> {
     let mut reader = BufReader::new(stream);
-    while let Some(body) = read_request(&mut reader)? {
+    while let Some(Request { reference, wait_ms, body }) = read_request(&mut reader)? {
+        let arrived_us = unix_us();
         let call_time_us = service.call_time_us.load(Relaxed);
         service.calls.fetch_add(1, Relaxed);
         if service.fails.load(Relaxed) {
@@ -55,14 +85,24 @@
         service.most_in_flight.fetch_max(in_flight, Relaxed);
         std::thread::sleep(Duration::from_micros(call_time_us));
         service.in_flight.fetch_sub(1, Relaxed);
+        service.record(ServedCall { reference, wait_ms, arrived_us, ended_us: unix_us() });
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
         reader.get_mut().write_all(&[head.as_bytes(), &body].concat())?;
     }
     Ok(())
 }
 
-/// The body of the next request; `None` when the caller has closed the connection.
-fn read_request(reader: &mut BufReader<TcpStream>) -> std::io::Result<Option<Vec<u8>>> {
+/// A request of a caller.
+#[derive(Default)]
+struct Request {
+    reference: u64,
+    wait_ms: u64,
+    body: Vec<u8>,
+}
+
+/// The next request; `None` when the caller has closed the connection.
+fn read_request(reader: &mut BufReader<TcpStream>) -> std::io::Result<Option<Request>> {
+    let mut request = Request::default();
     let mut length = 0;
     loop {
         let mut line = String::new();
@@ -70,14 +110,19 @@
             return Ok(None);
         }
         let line = line.trim_end();
-        if let Some(text) = line.strip_prefix("Content-Length: ") {
-            length = text.parse().map_err(std::io::Error::other)?;
+        match line.split_once(": ") {
+            Some(("Content-Length", text)) => length = text.parse().map_err(std::io::Error::other)?,
+            Some(("Op-Wait-Ms", text)) => request.wait_ms = text.parse().map_err(std::io::Error::other)?,
+            Some(("Op-Of", text)) => {
+                request.reference = u64::from_str_radix(text, 16).map_err(std::io::Error::other)?;
+            }
+            _ => {}
         }
         if line.is_empty() {
             break;
         }
     }
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body)?;
-    Ok(Some(body))
+    request.body = vec![0; length];
+    reader.read_exact(&mut request.body)?;
+    Ok(Some(request))
 }
--- a/crates/test-doubles/src/fleet/harness.rs
+++ b/crates/test-doubles/src/fleet/harness.rs
@@ -197,6 +197,14 @@
         self.processes[index].as_ref().map(|process| &process.log)
     }
 
+    /// The state of server `index`'s process, as the kernel names it.
+    pub(super) fn process_state(&self, index: usize) -> String {
+        let Some(process) = &self.processes[index] else { return "not started".to_string() };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", process.child.id()));
+        let state = status.iter().flat_map(|text| text.lines()).find_map(|line| line.strip_prefix("State:"));
+        state.map_or("ended".to_string(), |state| state.trim().to_string())
+    }
+
     /// Whether the message of a line of server `index`'s log contains `text`.
     pub fn has_logged(&self, index: usize, text: &str) -> bool {
         let Some(log) = self.log(index) else { return false };
@@ -210,6 +218,12 @@
         self.log(index).map_or(Vec::new(), |log| log.events(message))
     }
 
+    /// All log lines of server `index` with the time at which each was written, the oldest first.
+    pub fn stamped_lines(&self, index: usize) -> Vec<(String, Value)> {
+        let Some(log) = self.log(index) else { return Vec::new() };
+        log.lines().iter().map(|line| (line.timestamp.clone(), line.fields.clone())).collect()
+    }
+
     /// The address where server `index` accepts calls, from its log.
     pub fn listen_address(&self, index: usize) -> Option<SocketAddr> {
         let started = self.log(index)?.events("started").into_iter().next()?;
--- a/crates/test-doubles/src/fleet/log.rs
+++ b/crates/test-doubles/src/fleet/log.rs
@@ -12,6 +12,8 @@
 pub struct LogLine {
     /// When it was read.
     pub at: Instant,
+    /// When it was written, as the log says (RFC 3339, microseconds).
+    pub timestamp: String,
     /// The event's fields; the field `message` names the event.
     pub fields: Value,
 }
@@ -30,7 +32,8 @@
         std::thread::spawn(move || {
             for text in stderr.lines().map_while(Result::ok) {
                 if let Ok(line) = serde_json::from_str::<Value>(&text) {
-                    let line = LogLine { at: Instant::now(), fields: line["fields"].clone() };
+                    let timestamp = line["timestamp"].as_str().unwrap_or("").to_string();
+                    let line = LogLine { at: Instant::now(), timestamp, fields: line["fields"].clone() };
                     log.lines().push(line);
                 }
             }
--- a/crates/test-doubles/src/fleet/view.rs
+++ b/crates/test-doubles/src/fleet/view.rs
@@ -7,6 +7,9 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+/// Lines of each server's log that the report of a failed wait shows.
+const REPORTED_LINES: usize = 40;
+
 /// When servers came to one view, from the step that changed it.
 #[derive(Debug, Clone)]
 pub struct AgreementTimes {
@@ -84,7 +87,33 @@
             }
             (by_server.len() == members.len() && self.views_agree(members)).then(|| since.elapsed())
         });
-        let all = all.with_context(|| format!("no one view of {members:?} within {within:?}"))?;
+        let all = all.with_context(|| {
+            let report = self.membership_report(members, since);
+            format!("no one view of {members:?} within {within:?}; agreed once: {by_server:?}\n{report}")
+        })?;
         Ok(AgreementTimes { by_server, all })
     }
+
+    /// For a failed wait: what each server's log says of the membership, with the time at which it was
+    /// written and at which it was read, counted from `since`; and what the relay did.
+    fn membership_report(&self, members: &[usize], since: Instant) -> String {
+        let mut report = format!("relay: {:?}\n", self.relay.counts());
+        for &index in members {
+            let process = self.process_state(index);
+            report.push_str(&format!("s{index} ({process}) sees {:?}\n", self.member_states(index)));
+            let Some(log) = self.log(index) else { continue };
+            let lines = log.lines();
+            let about_membership = lines.iter().filter(|line| is_about_membership(&line.fields));
+            let newest: Vec<_> = about_membership.rev().take(REPORTED_LINES).collect();
+            for line in newest.into_iter().rev() {
+                let at = line.at.saturating_duration_since(since).as_secs_f64();
+                report.push_str(&format!("  {at:.3} s, {}: {}\n", line.timestamp, line.fields));
+            }
+        }
+        report
+    }
+}
+
+fn is_about_membership(fields: &Value) -> bool {
+    ["view", "member", "this server", "joining"].iter().any(|message| fields["message"] == *message)
 }
--- a/crates/test-doubles/src/open_loop.rs
+++ b/crates/test-doubles/src/open_loop.rs
@@ -27,6 +27,12 @@
     pub errored: u64,
     /// No reply: the connection broke, or none could be made.
     pub none: u64,
+    /// Of those without a reply, calls that were not sent.
+    pub unsent: u64,
+    /// Of those without a reply, calls whose connection broke.
+    pub broken: u64,
+    /// Replies that no call awaited, such as a second one to the same call.
+    pub unexpected: u64,
 }
 
 impl ReplyCounts {
@@ -90,6 +96,12 @@
                 Timer::after(Duration::from_millis(20)).await;
             }
         }));
-        load.replies.get()
+        let Load { balancer, replies, .. } = &*load;
+        ReplyCounts {
+            unsent: balancer.unsent_calls.get(),
+            broken: balancer.broken_calls.get(),
+            unexpected: balancer.unexpected_replies.get(),
+            ..replies.get()
+        }
     })
 }
