A call is not sent once its time or its lease is over, as after a stop of the process

Cause: the permit is taken in the event loop, the call connects and writes in a task of its own, and nothing looked at the lease or the call's time in between. After SIGCONT the task is polled before the timer that ends the call. The timer began anew in the task, and the request stated the whole time.

Change: a permit says until when the call may be sent (while the lease outlasts the longest use; the floor has no end). That and the call's own time are looked at right before each write; a call that may not be sent never ran. A unit is in use from the last write. The request states the time left. Debug lines `call permitted`, `call sent`, `call not sent`, `call ended` and `call abandoned` with number and reference.

--- a/crates/cli/tests/scenario_harness/mod.rs
+++ b/crates/cli/tests/scenario_harness/mod.rs
@@ -19,7 +19,8 @@
 //!   there for a while), `dials anew`, `notice JSON` (TAG written `#7` becomes its reference, `=text=`
 //!   base64), `gauges on|off`, `unlink`.
 //! - `called TAG BODY`, `reply STATUS BODY [HEADER]`, `hang up` (on the call), `given up` (by the server),
-//!   `no records` (connections there are refused), `records full` (nobody accepts them), `no catalog`.
+//!   `no records` (connections there are refused), `records full` and `records takes` (nobody accepts there
+//!   for a while), `closed unused` (a connection that ends without a byte), `no catalog`.
 //! - `many-tenants N WEIGHT` for options that name so many tenants `t0`, `t1`, ... of that weight;
 //!   `one-tenant NAME WEIGHT ACCOUNTS` for one alone, `forget log` for lines so far,
 //!   `until-weight NAME WEIGHT` asks for the shares until the log shows a tenant so; `pauses-at-most MS` for
--- a/crates/cli/tests/scenario_harness/steps.rs
+++ b/crates/cli/tests/scenario_harness/steps.rs
@@ -264,6 +264,18 @@
             ["records", "full"] => self.queue_fillers.push(fill_queue(
                 self.downstream_service.as_ref().expect("the scenario has not closed the service"),
             )),
+            ["records", "takes"] => {
+                let service =
+                    self.downstream_service.as_ref().expect("the scenario has not closed the service");
+                drop(accept(service));
+                net::listen(service, 128).unwrap();
+            }
+            ["closed", "unused"] => {
+                let service =
+                    self.downstream_service.as_ref().expect("the scenario has not closed the service");
+                let mut byte = [0];
+                assert_eq!(accept(service).read(&mut byte).expect("in time"), 0, "a call came on it");
+            }
             ["no", "catalog"] => {
                 let other = UdpSocket::bind("127.0.0.1:0").unwrap();
                 self.configuration["directory"] = json!(other.local_addr().unwrap().to_string());
--- a/crates/cli/tests/server.rs
+++ b/crates/cli/tests/server.rs
@@ -17,6 +17,7 @@
 #[test_case("call_broken_halfway")]
 #[test_case("call_refused")]
 #[test_case("call_given_up")]
+#[test_case("call_held_up_by_a_stop")]
 #[test_case("link_lost")]
 #[test_case("link_lost_at_a_call")]
 #[test_case("link_sends_rubbish")]
--- a/crates/server/src/calls/task.rs
+++ b/crates/server/src/calls/task.rs
@@ -14,6 +14,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
+use tracing::debug;
 
 /// What is called, and for whom.
 pub struct Call {
@@ -23,7 +24,9 @@
     pub number: u64,
     /// The caller's number for the invocation.
     pub reference: u64,
-    /// The call is given up after this time.
+    /// When it was permitted, by the server's clock.
+    pub permitted_at: Nanos,
+    /// The call is given up so long after that.
     pub timeout: Nanos,
     /// The body of the request.
     pub body: Vec<u8>,
@@ -31,25 +34,43 @@
     pub fresh: bool,
 }
 
+impl Call {
+    /// How much of its time is left; `None` once it is over.
+    fn time_left(&self, now: Nanos) -> Option<Nanos> {
+        let deadline = self.permitted_at.saturating_add(self.timeout);
+        deadline.checked_sub(now).filter(|left| *left > 0)
+    }
+
+    /// Whether bytes of it may be sent now. After a stop of the process a task may get here long after the
+    /// call was permitted, and before the timer that ends the call is looked at.
+    fn may_be_sent(&self, server: &Server) -> bool {
+        let is_in_time = self.time_left(server.clock.now()).is_some();
+        is_in_time && server.shared.as_ref().is_none_or(|shared| shared.permit_send(self.number))
+    }
+}
+
 struct Exchanged {
     reply: http::Reply,
     /// Nothing came behind the reply.
     is_alone: bool,
 }
 
-/// Makes a call and sends its end to the event loop.
+/// Makes a call and sends its end to the event loop. A reply that has come is taken even where the call's
+/// time is over by then, so the exchange is looked at before the timer.
 pub async fn make(server: Rc<Server>, to: SocketAddr, call: Call) {
     let begun = server.clock.now();
     // Until the first byte is written it is certain that nothing ran, whatever goes wrong.
     let written = Cell::new(false);
     let failed = || (if written.get() { Outcome::Unknown } else { Outcome::NeverRan }, Vec::new());
     let late = async {
-        Timer::after(Duration::from_nanos(call.timeout)).await;
+        Timer::after(Duration::from_nanos(call.time_left(begun).unwrap_or(0))).await;
         failed()
     };
     let exchanged = async { exchange(&server, to, &call, &written).await.unwrap_or_else(|_| failed()) };
     let (outcome, reply) = future::or(exchanged, late).await;
     let took = server.clock.now() - begun;
+    let (number, reference) = (call.number, format!("{:016x}", call.reference));
+    debug!(number, reference, ?outcome, took_us = took / 1_000, "call ended");
     let (invocation, number) = (call.invocation, call.number);
     let ended = Event::CallEnded { invocation, number, outcome, reply, took };
     let _ = server.events.send(ended).await;
@@ -63,7 +84,7 @@
 ) -> Result<(Outcome, Vec<u8>)> {
     let pooled = server.pool.connect(to, call.fresh, &server.descriptors).await?;
     let _ = pooled.stream.get_ref().set_nodelay(true);
-    send(&pooled.stream, to, call, written).await?;
+    send(server, &pooled.stream, to, call, written).await?;
     let Exchanged { reply, is_alone } = receive_reply(&pooled.stream).await?;
     if reply.is_reusable && is_alone {
         server.pool.give_back(pooled);
@@ -72,16 +93,24 @@
 }
 
 async fn send(
+    server: &Server,
     mut stream: &Async<TcpStream>,
     to: SocketAddr,
     call: &Call,
     written: &Cell<bool>,
 ) -> Result<()> {
-    let request = http::call(&to.to_string(), call.reference, call.timeout, &call.body);
+    let time_left = call.time_left(server.clock.now()).unwrap_or(0);
+    let request = http::call(&to.to_string(), call.reference, time_left, &call.body);
     let mut rest = request.as_slice();
     while !rest.is_empty() {
+        if !call.may_be_sent(server) {
+            debug!(number = call.number, "call not sent: permitted too long ago");
+            return Err(ErrorKind::TimedOut.into());
+        }
         let count = stream.write(rest).await?;
-        written.set(true);
+        if !written.replace(true) {
+            debug!(number = call.number, reference = format!("{:016x}", call.reference), "call sent");
+        }
         rest = &rest[count..];
     }
     Ok(())
--- a/crates/server/src/event_loop/downstream.rs
+++ b/crates/server/src/event_loop/downstream.rs
@@ -9,6 +9,7 @@
 use crate::wire::interpreter;
 use meadowstream_overload_control::{Effect, Nanos, Outcome};
 use meadowstream_routing::CallPreference;
+use tracing::debug;
 
 impl ActionExecutor {
     /// Whether the fleet permits the call of an invocation, while so many runs wait for theirs.
@@ -36,7 +37,14 @@
         let StartedCall { timeout, destination } = started;
         invocation.last_service = destination.as_ref().map(|destination| destination.service);
         let to = destination.map_or(records, |destination| destination.address);
-        let call = Call { invocation: id, number, reference, timeout, body, fresh };
+        debug!(
+            number,
+            reference = format!("{reference:016x}"),
+            timeout_us = timeout / 1_000,
+            "call permitted"
+        );
+        let permitted_at = self.server.clock.now();
+        let call = Call { invocation: id, number, reference, permitted_at, timeout, body, fresh };
         let task = self.server.executor.spawn(call::make(self.server.clone(), to, call));
         invocation.call = Some(RunningCall { number, _task: task });
         self.server.counters.calls.add();
@@ -73,6 +81,7 @@
         let call = self.invocations.get(id).and_then(|invocation| invocation.call.take());
         let Some(call) = call else { return };
         self.server.counters.calls_dropped.add();
+        debug!(number = call.number, "call abandoned");
         if let Some(shared) = &self.server.shared {
             shared.end_call(call.number, false, CallEvidence::Abandoned);
         }
--- a/crates/server/src/fleet/shared_state.rs
+++ b/crates/server/src/fleet/shared_state.rs
@@ -8,7 +8,7 @@
 use crate::resources::counters::Counters;
 use meadowstream_routing::CallPreference;
 use meadowstream_shared_state::budget::{Budget, BudgetSettingsError};
-use meadowstream_shared_state::clock::{Reading, Time};
+use meadowstream_shared_state::clock::{Nanos, Reading, Time};
 use meadowstream_shared_state::permits::Permits;
 use meadowstream_shared_state::{ServerId, Settings, SharedState};
 use std::cell::RefCell;
@@ -142,13 +142,24 @@
         let reading = self.reading();
         let mut inner = self.inner.borrow_mut();
         let time = inner.state.read_clocks(reading);
-        inner.permits.acquire(time, number);
+        let in_use = inner.permits.in_use(time);
+        let send_by = calls(&inner.state).map_or(Nanos::MAX, |budget| budget.send_by(time, in_use));
+        inner.permits.acquire(time, number, send_by);
         let chosen = inner.tier.as_mut().map(|tier| tier.start_call(reading.monotonic, number, preference));
         let timeout = calls(&inner.state).map_or(timeout, |budget| timeout.min(budget.settings().use_max));
         let destination = chosen.map(|(service, address)| Destination { service, address });
         StartedCall { timeout, destination }
     }
 
+    /// Whether bytes of a call may be sent now; to be asked right before each write. While the process was
+    /// stopped, the lease that permitted the call may have become another server's.
+    pub fn permit_send(&self, number: u64) -> bool {
+        let reading = self.reading();
+        let mut inner = self.inner.borrow_mut();
+        let time = inner.state.read_clocks(reading);
+        inner.permits.permit_send(time, number)
+    }
+
     /// A call is over here; `is_over_below` where the service is known to be done with it.
     pub fn end_call(&self, number: u64, is_over_below: bool, evidence: CallEvidence) {
         let reading = self.reading();
--- a/crates/shared-state/src/budget/mod.rs
+++ b/crates/shared-state/src/budget/mod.rs
@@ -20,7 +20,7 @@
 pub mod message;
 pub mod settings;
 
-use crate::clock::Time;
+use crate::clock::{Nanos, Time};
 use crate::server_id::ServerId;
 pub use counters::BudgetCounters;
 use election::{Election, VoteCount};
@@ -93,6 +93,17 @@
         in_use < allowance.floor + leased
     }
 
+    /// Until when, by the fast clock, the call of a unit that is acquired now may be sent, while `in_use` are
+    /// in use. A unit of the floor has no end. One of the lease has to be sent while the lease outlasts its
+    /// longest use: the service is done with it before the lease is granted again.
+    pub fn send_by(&self, time: Time, in_use: u64) -> Nanos {
+        let allowance = self.allowance(time);
+        if in_use < allowance.floor {
+            return Nanos::MAX;
+        }
+        time.fast + allowance.remaining.saturating_sub(self.settings.use_max)
+    }
+
     /// Whether this server is the grantor now.
     pub fn is_grantor(&self, time: Time) -> bool {
         self.election.is_grantor(time)
--- a/crates/shared-state/src/permits.rs
+++ b/crates/shared-state/src/permits.rs
@@ -17,11 +17,21 @@
     }
 }
 
+/// The unit of an open call.
+#[derive(Clone, Copy, Debug)]
+struct OpenCall {
+    /// The service has the call since then at the earliest, by the slow clock: since it was last sent to, or
+    /// since the permit where nothing has been sent.
+    since: Nanos,
+    /// The call may not be sent later, by the fast clock.
+    send_by: Nanos,
+}
+
 /// Permits of the calls of one server.
 #[derive(Clone, Debug, Default)]
 pub struct Permits {
-    /// Start of each open call by its number, by the slow clock.
-    open: BTreeMap<u64, Nanos>,
+    /// Open calls by number.
+    open: BTreeMap<u64, OpenCall>,
     /// When abandoned calls are certainly over, by the slow clock; in order.
     abandoned_until: VecDeque<Nanos>,
     /// Calls that waited when one was last refused.
@@ -33,23 +43,35 @@
 }
 
 impl Permits {
-    /// A call begins; `call` is its number.
-    pub fn acquire(&mut self, time: Time, call: u64) {
-        self.open.insert(call, time.slow);
+    /// A call begins; `call` is its number. It may be sent until `send_by` by the fast clock, see
+    /// [`Budget::send_by`](crate::budget::Budget::send_by).
+    pub fn acquire(&mut self, time: Time, call: u64, send_by: Nanos) {
+        self.open.insert(call, OpenCall { since: time.slow, send_by });
         let units = self.in_use(time);
         if units >= self.peak.units {
             self.peak = Noted { units, at: time.fast };
         }
     }
 
+    /// Whether bytes of an open call may be sent now; to be asked right before each write. A process may be
+    /// stopped between the permit and the write for longer than the lease lasts, when the unit is another
+    /// server's.
+    pub fn permit_send(&mut self, time: Time, call: u64) -> bool {
+        let Some(open) = self.open.get_mut(&call).filter(|open| time.fast <= open.send_by) else {
+            return false;
+        };
+        open.since = time.slow;
+        true
+    }
+
     /// A call has ended at this server. Where it is not `certain` that the service has ended it, too, its
-    /// unit stays in use until `use_max` nanoseconds after its start.
+    /// unit stays in use until `use_max` nanoseconds after it was last sent to.
     pub fn release(&mut self, call: u64, certain: bool, use_max: Nanos) {
-        let Some(started_at) = self.open.remove(&call) else { return };
+        let Some(open) = self.open.remove(&call) else { return };
         if certain {
             return;
         }
-        let until = started_at + use_max;
+        let until = open.since + use_max;
         let index = self.abandoned_until.partition_point(|other| *other <= until);
         self.abandoned_until.insert(index, until);
     }
--- a/crates/shared-state/src/simulation/events.rs
+++ b/crates/shared-state/src/simulation/events.rs
@@ -12,6 +12,8 @@
     Advance { server: usize, incarnation: u64 },
     /// A server is asked for a call to the dependency.
     Arrival { server: usize, incarnation: u64 },
+    /// A call that was permitted is sent.
+    Send { server: usize, incarnation: u64, call: u64 },
     /// A call to the dependency ends.
     CallEnd { server: usize, incarnation: u64, call: u64 },
 }
--- a/crates/shared-state/src/simulation/mod.rs
+++ b/crates/shared-state/src/simulation/mod.rs
@@ -46,6 +46,10 @@
     pub network: NetworkFaults,
     /// How long a call to the dependency takes, in nanoseconds.
     pub call_duration: Nanos,
+    /// How long a server takes to send a call once it is permitted, in nanoseconds.
+    pub send_delay: Nanos,
+    /// Calls that were permitted and not sent, since the server was stopped in between.
+    pub withheld: u64,
     /// Calls in progress at the dependency.
     pub in_use: u64,
     /// Most calls that were ever in progress at the same time.
@@ -72,6 +76,8 @@
             now: 0,
             network,
             call_duration: CALL_DURATION_NS,
+            send_delay: 0,
+            withheld: 0,
             in_use: 0,
             in_use_max: 0,
             use_integral: 0,
@@ -217,6 +223,7 @@
                     self.handle_arrival(server, incarnation);
                 }
             }
+            Event::Send { server, incarnation, call } => self.send(server, incarnation, call),
             Event::CallEnd { server, incarnation, call } => {
                 self.in_use -= 1;
                 self.servers[server].end_call(incarnation, call);
@@ -273,6 +280,26 @@
             Some(true) => {}
         }
         self.calls = call;
+        if self.send_delay == 0 {
+            self.send(server, incarnation, call);
+        } else {
+            self.schedule(self.send_delay, Event::Send { server, incarnation, call });
+        }
+    }
+
+    /// Sends a call that was permitted. A process that is stopped sends it once it goes on; with one that has
+    /// ended it is gone.
+    fn send(&mut self, server: usize, incarnation: u64, call: u64) {
+        if self.servers[server].incarnation != incarnation {
+            return;
+        }
+        if self.servers[server].stalled {
+            return self.schedule(MILLISECOND_NS, Event::Send { server, incarnation, call });
+        }
+        if !self.servers[server].permit_send(self.now, call) {
+            self.withheld += 1;
+            return;
+        }
         *self.served.entry(server).or_default() += 1;
         self.in_use += 1;
         self.in_use_max = self.in_use_max.max(self.in_use);
--- a/crates/shared-state/src/simulation/server.rs
+++ b/crates/shared-state/src/simulation/server.rs
@@ -76,7 +76,8 @@
         let in_use = self.permits.in_use(time);
         let allowed = state.budgets.first().is_none_or(|budget| budget.may_acquire(time, in_use));
         if allowed {
-            self.permits.acquire(time, call);
+            let send_by = state.budgets.first().map_or(Nanos::MAX, |budget| budget.send_by(time, in_use));
+            self.permits.acquire(time, call, send_by);
             state.counters.add("calls", 1);
         } else {
             self.permits.refuse(time, WAITING_CALLS);
@@ -84,6 +85,18 @@
         Some(allowed)
     }
 
+    /// Whether a permitted call may be sent; one that may not has ended.
+    pub fn permit_send(&mut self, now: Nanos, call: u64) -> bool {
+        let reading = self.clocks.read(now);
+        let Some(state) = self.state.as_mut() else { return false };
+        let time = state.read_clocks(reading);
+        let permitted = self.permits.permit_send(time, call);
+        if !permitted {
+            self.permits.release(call, true, 0);
+        }
+        permitted
+    }
+
     /// A call has ended. One of an earlier incarnation holds no unit any more.
     pub fn end_call(&mut self, incarnation: u64, call: u64) {
         if self.incarnation == incarnation && self.state.is_some() {
--- a/crates/shared-state/tests/fleet.rs
+++ b/crates/shared-state/tests/fleet.rs
@@ -115,6 +115,34 @@
     holds(&mut fleet, since, 0.85);
 }
 
+/// Guards against calls that are permitted before a process stops and sent after it, when the lease is
+/// another's: a server stops for two leases while calls of it stand between permit and write.
+#[test_case(7)]
+#[test_case(8)]
+#[test_case(9)]
+fn a_call_permitted_before_a_stop_is_not_sent_after_its_lease(seed: u64) {
+    let mut fleet = flooded(seed, lan());
+    (5..8).for_each(|i| {
+        fleet.start(i);
+        fleet.demand(i, 4_000.0);
+    });
+    play(&mut fleet, 3 * LEASE);
+    for round in 0..12 {
+        let stopped = 1 + round % 7;
+        fleet.send_delay = 100 * MS;
+        play(&mut fleet, 100 * MS);
+        fleet.stall(stopped, true);
+        fleet.send_delay = 0;
+        play(&mut fleet, 2 * LEASE);
+        fleet.stall(stopped, false);
+        play(&mut fleet, LEASE);
+    }
+    assert!(fleet.in_use_max <= TOTAL, "{} at once of {TOTAL}", fleet.in_use_max);
+    assert!(fleet.withheld > 0, "no call stood between permit and write when a process stopped");
+    let since = play(&mut fleet, 10 * S);
+    holds(&mut fleet, since, 0.9);
+}
+
 #[test_case(0, 1000, 0 ; "the monotonic clock stands still")]
 #[test_case(1000, 0, 0 ; "the wall clock stands still")]
 #[test_case(1000, 1000, 3600 ; "the wall clock leaps an hour ahead")]
