Each test fleet has a key of its own, so that none hears another at a dead member's port

Cause: all fleets of the tests shared name and key. A killed member's port may become that of a neighbouring test's member, which answers the living with a valid tag: each fleet learns the other's members, and the harness reads views by names that both use.

--- a/crates/capacity/src/process.rs
+++ b/crates/capacity/src/process.rs
@@ -138,7 +138,7 @@
     std::fs::write(folder.join("config.json"), platform_settings.to_string())?;
     std::fs::write(folder.join("options.xml"), options_file(&settings.options))?;
     let key = folder.join("key");
-    std::fs::write(&key, "a shared key of the capacity runs")?;
+    std::fs::write(&key, format!("the key of capacity run {}", std::process::id()))?;
     std::fs::set_permissions(&key, std::fs::Permissions::from_mode(KEY_FILE_MODE))?;
     Ok(folder)
 }
--- a/crates/cli/tests/fleet_membership.rs
+++ b/crates/cli/tests/fleet_membership.rs
@@ -171,6 +171,28 @@
     assert!(said.contains(&format!("<membership>: cannot bind {at}")), "{said}");
 }
 
+/// Guards against fleets of neighbouring tests that hear each other: the system gives a dead member's port to
+/// whoever asks next, and the living go on sending there.
+#[test]
+fn a_dead_members_port_taken_by_another_fleet_joins_no_views() {
+    let mut fleet = start_fleet(5, 19);
+    agreed(&fleet, &all(5), Duration::from_secs(15));
+    let bound = fleet.log_lines(4, "joining")[0]["bound"].as_str().unwrap().parse().unwrap();
+    fleet.signal(4, "KILL").unwrap();
+    let options = HarnessOptions { first_bind: Some(bound), ..HarnessOptions::default() };
+    let program = Path::new(env!("CARGO_BIN_EXE_meadowstream"));
+    let other = FleetHarness::with_options(program, 5, 5, 20, options).unwrap();
+    agreed(&other, &all(5), Duration::from_secs(15));
+    agreed(&fleet, &all(4), CRASH_BOUND * 2);
+    std::thread::sleep(Duration::from_secs(3));
+    for (fleet, servers) in [(&fleet, 4), (&other, 5)] {
+        for server in 0..servers {
+            let members = fleet.view_field(server, "members").expect("a view");
+            assert!(members.as_array().expect("members").len() <= 4, "s{server} sees {members}");
+        }
+    }
+}
+
 /// `fleet rehearse` ends with its table, every step seen.
 #[test]
 fn the_fleet_rehearsal_ends_with_its_table() {
--- a/crates/test-doubles/src/fleet/files.rs
+++ b/crates/test-doubles/src/fleet/files.rs
@@ -29,6 +29,8 @@
     pub listens: Vec<SocketAddr>,
     /// Programs of the first servers, where these are not the harness's.
     pub programs: Vec<PathBuf>,
+    /// Where the first server binds its membership; a free port where not given.
+    pub first_bind: Option<SocketAddr>,
 }
 
 /// Addresses in the configuration of one server.
@@ -74,11 +76,13 @@
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         let Self { index, advertised, seed, members, given } = self;
         let HarnessOptions { membership, options, .. } = given;
+        let given_bind = given.first_bind.filter(|_| *index == 0);
+        let bind = given_bind.map_or("127.0.0.1:0".to_string(), |bind| bind.to_string());
         let own_options = given.own_options.get(*index).map_or("", String::as_str);
         write!(
             formatter,
             r#"<meadowstream xmlns="urn:meadowstream:options:1">
-  <membership bind="127.0.0.1:0" advertise="{advertised}" name="s{index}" fleet="rehearsal" key-file="key"
+  <membership bind="{bind}" advertise="{advertised}" name="s{index}" fleet="rehearsal" key-file="key"
       probe-period-ms="{PROBE_PERIOD_MS}" probe-rtt-ms="80" suspicion-multiplier="{SUSPICION_PERIODS}"
       gossip-period-ms="100" announce-period-ms="1000" expected-members="{members}" {membership}>
     <seed address="{seed}"/>
--- a/crates/test-doubles/src/fleet/harness.rs
+++ b/crates/test-doubles/src/fleet/harness.rs
@@ -46,7 +46,8 @@
         let folder = std::env::temp_dir().join(format!("meadowstream-fleet-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let key = folder.join("key");
-        std::fs::write(&key, "a shared key of the rehearsal fleet")?;
+        // A key of its own: a port of a dead member may become another fleet's, which must not be heard.
+        std::fs::write(&key, format!("the key of rehearsal fleet {}-{seed}", std::process::id()))?;
         std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o600))?;
         let mut harness = FleetHarness {
             options,
