Long replies that wait together for the interpreter are all written

Callers would see: an error at the deadline though the run's downstream call went well, where its reply is over 12 KiB and several are ready at once. Found by reading.

Cause: commands for one write were gathered in a buffer of 64 KiB while over 16 KiB were free; a reply of 16 KiB is 22 KB as base64, and `let _ = ring.put(..)` dropped it.

Change: a write takes whole commands until it has 64 KiB. The new test long_replies_that_wait_together_are_all_written failed before ("not all commands were written") and passes.

--- a/crates/server/src/interpreter/link.rs
+++ b/crates/server/src/interpreter/link.rs
@@ -21,7 +21,7 @@
 
 /// Commands that may wait to be written; the link to an interpreter that reads none is made again.
 const COMMANDS_MAX: usize = 4096;
-/// Bytes that are written at once.
+/// Bytes from which on no further command joins a write.
 const WRITE_MAX_BYTES: usize = 64 * 1024;
 /// First pause between attempts; it doubles with each up to the longest.
 const BACKOFF: Duration = Duration::from_millis(5);
@@ -135,19 +135,18 @@
     }
 }
 
+/// Writes commands; those that wait together go out in one write.
 async fn write(mut stream: &Async<TcpStream>, queue: &Receiver<Vec<u8>>) -> Result<()> {
-    let mut ring = Ring::new(WRITE_MAX_BYTES);
-    while let Ok(line) = queue.recv().await {
-        let _ = ring.put(&line);
-        while ring.free() > interpreter::LINE_MAX
+    while let Ok(mut batch) = queue.recv().await {
+        while batch.len() < WRITE_MAX_BYTES
             && let Ok(line) = queue.try_recv()
         {
-            let _ = ring.put(&line);
-        }
-        while !ring.is_empty() {
-            let count = stream.write(ring.front()).await?;
-            ring.drop_front(count);
+            batch.extend(line);
         }
+        stream.write_all(&batch).await?;
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/server/src/interpreter/link/tests.rs
@@ -0,0 +1,32 @@
+//! What is written on a link.
+
+use super::*;
+use crate::wire::interpreter::resolve;
+use std::io::Read;
+use std::net::TcpListener;
+
+/// Longest reply of a downstream call, in bytes.
+const REPLY_BYTES: usize = 16 * 1024;
+
+/// Guards against commands that are lost: a long reply was dropped where it did not fit beside those that
+/// waited with it, and its run waited for ever.
+#[test]
+fn long_replies_that_wait_together_are_all_written() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let stream = Async::<TcpStream>::new(listener.accept().unwrap().0).unwrap();
+    let (commands, queue) = async_channel::bounded(COMMANDS_MAX);
+    let lines: Vec<Vec<u8>> = (0..20).map(|task| resolve(task, &[b'x'; REPLY_BYTES])).collect();
+    for line in &lines {
+        commands.try_send(line.clone()).unwrap();
+    }
+    commands.close();
+    let read = std::thread::spawn(move || {
+        let mut bytes = Vec::new();
+        peer.read_to_end(&mut bytes).unwrap();
+        bytes
+    });
+    futures_lite::future::block_on(write(&stream, &queue)).unwrap();
+    drop(stream);
+    assert!(read.join().unwrap() == lines.concat(), "not all commands were written");
+}
