A leaving server accepts nobody in the last part of its time, and ends by itself

Cause: the listener closed only where a look found no connection at all; with callers that come one after the other there is always one.

Evidence: counters right before the kill show all answered and connections still being accepted. Scenario drain_while_callers_come failed before ("still accepted after 3.5s").

Change: after five eighths of the time to the stop what waits in the kernel's queue is accepted, then the listener closes. Two lingers fit into the rest.

--- a/crates/cli/tests/scenario_harness/mod.rs
+++ b/crates/cli/tests/scenario_harness/mod.rs
@@ -12,6 +12,7 @@
 //!   made of TAG), `health A TAG`, `send A BYTES` (`\r`, `\n`), `bytewise A TAG OPERATION BODY`,
 //!   `hears A TAG WORD [BODY]`, `hears-fields A TAG WORD TEXT`, `hears A 0 enough`, `unheard A TAG`,
 //!   `ends A`, `ends-cleanly A` (not by a reset); FIELDS may say NOW, or LATE for a clock two seconds behind;
+//!   `come until refused MS` (new callers, one before the other has gone);
 //!   `open A tiny` with hardly any room for what it hears, `rubbish A BYTES` without waiting for a reader;
 //!   `flood A N` sends N checks without reading, `drink A N` reads as many answers.
 //! - `link INDEX` (takes a link that must have read that far), `banner warm|cold [AGE_MS]`, `told VERB TAG
--- a/crates/cli/tests/scenario_harness/steps.rs
+++ b/crates/cli/tests/scenario_harness/steps.rs
@@ -2,7 +2,6 @@
 
 use super::ScenarioHarness;
 use super::balancer::{Balancer, encode_array, encode_call, unescaped};
-use super::link::Link;
 use super::options::{many_tenants, one_tenant};
 use super::sockets::{accept, connect_with_small_buffer, fill_queue, listener, with_timeout};
 use rustix::net;
@@ -10,13 +9,15 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream, UdpSocket};
 use std::sync::atomic::Ordering::Relaxed;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What stands after the first `words` words of a line, which single spaces part.
 fn rest_of(line: &str, words: usize) -> &str {
     line.splitn(words + 1, ' ').nth(words).unwrap_or("")
 }
 
+/// Time between two callers of those that keep coming.
+const CALLERS_INTERVAL: Duration = Duration::from_millis(50);
 /// Steps that may stand between a banner and the end of the notices that are replayed behind it.
 const REPLAY_STEPS: [&str; 6] = ["ok", "ok-big", "awaits", "notice", "long", "waits"];
 
@@ -154,6 +155,9 @@
                 };
                 self.balancers.insert(name.to_string(), balancer);
             }
+            ["come", "until", "refused", ms] => {
+                self.come_until_refused(Duration::from_millis(ms.parse().unwrap()))
+            }
             ["rubbish", name, bytes] => {
                 let rubbish = vec![b'#'; bytes.parse().unwrap()];
                 let mut stream = self.balancer(name).stream.get_ref().try_clone().unwrap();
@@ -217,6 +221,17 @@
         true
     }
 
+    /// New callers come one after the other, each before the one before has gone.
+    fn come_until_refused(&self, within: Duration) {
+        let end = Instant::now() + within;
+        let mut before = None;
+        while let Ok(caller) = TcpStream::connect(&self.listen) {
+            assert!(Instant::now() < end, "still accepted after {within:?}");
+            std::thread::sleep(CALLERS_INTERVAL);
+            drop(before.replace(caller));
+        }
+    }
+
     /// Steps of the interpreter and its link.
     fn interpreter_step(&mut self, line: &str, words: &[&str]) -> bool {
         match words {
--- a/crates/cli/tests/server.rs
+++ b/crates/cli/tests/server.rs
@@ -35,6 +35,7 @@
 #[test_case("silent")]
 #[test_case("drain")]
 #[test_case("drain_late")]
+#[test_case("drain_while_callers_come")]
 #[test_case("drain_takes_the_backlog")]
 #[test_case("drain_before_the_banner")]
 #[test_case("log_unread")]
--- a/crates/server/src/connection/accept.rs
+++ b/crates/server/src/connection/accept.rs
@@ -13,12 +13,27 @@
 /// Pause before the next attempt after a failure to accept.
 const RETRY_AFTER: Duration = Duration::from_millis(10);
 
-/// Ends with the listener closed, once the drain is over. Until then connections are still accepted: callers
-/// notice late that a server leaves, and an answer here costs them less than a refused connection.
+/// What became of the connections that waited in the kernel's queue.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Backlog {
+    /// None waited.
+    Empty,
+    /// All that waited are accepted.
+    Accepted,
+    /// There are too few descriptors to accept all.
+    Waiting,
+}
+
+/// Ends with the listener closed, once the drain is over or the stop is near. Until then connections are still
+/// accepted: callers notice late that a server leaves, and an answer here costs them less than a refused
+/// connection.
 pub async fn accept(server: Rc<Server>, listener: Async<TcpListener>) {
     let mut exhausted = false;
     loop {
-        if drain::is_over(&server) && !accept_backlog(&server, &listener) {
+        if drain::is_over(&server) && accept_backlog(&server, &listener) != Backlog::Accepted {
+            return;
+        }
+        if server.accepts_no_more.get() && accept_backlog(&server, &listener) != Backlog::Waiting {
             return;
         }
         let Some(descriptor) = server.descriptors.for_connection() else {
@@ -54,17 +69,18 @@
 }
 
 /// Accepts what waits in the kernel's queue, as far as there are descriptors, before the listener closes: a
-/// close would reset these connections together with calls on them that nobody has read. False where there
-/// was none: then the listener closes with no step of another task between.
-fn accept_backlog(server: &Rc<Server>, listener: &Async<TcpListener>) -> bool {
-    let mut any = false;
-    while let Some(descriptor) = server.descriptors.for_connection()
-        && let Ok(stream) = listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream))
-    {
+/// close would reset these connections together with calls on them that nobody has read. Where nothing waits
+/// any more the listener closes with no step of another task between.
+fn accept_backlog(server: &Rc<Server>, listener: &Async<TcpListener>) -> Backlog {
+    let mut backlog = Backlog::Empty;
+    while let Some(descriptor) = server.descriptors.for_connection() {
+        let Ok(stream) = listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream)) else {
+            return backlog;
+        };
         task::spawn(server, stream, descriptor);
-        any = true;
+        backlog = Backlog::Accepted;
     }
-    any
+    Backlog::Waiting
 }
 
 /// Out of descriptors: an idle connection is closed; where there is none the pooled downstream connections
--- a/crates/server/src/lifecycle/drain.rs
+++ b/crates/server/src/lifecycle/drain.rs
@@ -3,20 +3,30 @@
 use crate::server::Server;
 use async_io::Timer;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Pause between looks whether the drain is over.
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 
+/// Connections are accepted for so many parts of the time to the stop, of so many. Callers that have not heard
+/// of the leave come until the end, and what they send right before the stop could not be answered any more; in
+/// the rest of the time a connection may linger twice, see `connection::task`.
+const ACCEPT_PARTS: u32 = 5;
+const ACCEPT_PARTS_OF: u32 = 8;
+
 /// Ends the grace, in which arrivals are still run: callers notice late that a server leaves, and the servers
 /// that stay would miss its capacity. It ends half way to the stop at the latest. From then on no call is
 /// wanted.
 pub async fn end_grace(server: Rc<Server>) {
-    let half = Duration::from_millis(server.configuration.stop_ms) / 2;
+    let stop = Duration::from_millis(server.configuration.stop_ms);
     let grace = Duration::from_nanos(server.configuration.settings.deployment.drain_grace);
-    Timer::after(grace.min(half)).await;
+    let accepting = stop * ACCEPT_PARTS / ACCEPT_PARTS_OF;
+    let told_at = Instant::now();
+    Timer::at(told_at + grace.min(stop / 2)).await;
     server.grace_over.set(true);
     server.connections.drain_all();
+    Timer::at(told_at + accepting).await;
+    server.accepts_no_more.set(true);
 }
 
 /// A server that leaves of its own accord ends at the stop at the latest, as nobody else ends it then.
--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -155,6 +155,7 @@
         descriptors,
         buffers,
         grace_over: Cell::new(false),
+        accepts_no_more: Cell::new(false),
         stop_at: Cell::new(None),
         interpreter_moved: async_channel::bounded(1),
         counters: Counters::default(),
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -51,6 +51,8 @@
     pub interpreter_moved: (Sender<()>, Receiver<()>),
     /// The server is draining and wants no new call.
     pub grace_over: Cell<bool>,
+    /// The stop is so near that no further connection is accepted.
+    pub accepts_no_more: Cell<bool>,
     /// When it ends at the latest, where it leaves without a signal.
     pub stop_at: Cell<Option<Nanos>>,
     /// Closed once the server is to leave.
