A seeded soak: processes under load and signals, with clients that go on until the kill

New, no fault mended: crates/test-doubles/src/soak draws a run from its seed (one server, or three with a shared budget of calls; reloads, SIGUSR1, stops, a service below that falls silent, a crowd beyond the descriptors; series such as HUP HUP TERM, TERM TERM) and checks: one answer by the due time for each call whose connection did not end within 50 ms of it, none answered or run twice, none run that was sent after the grace, ended by itself with 0 before the kill, counters that add up, descriptors, memory and the budget. A failure prints the seed, the order of events and the end of the server's log.

--- /dev/null
+++ b/crates/cli/tests/soak.rs
@@ -0,0 +1,98 @@
+//! The soak, short: runs of a few seeds. `SOAK_SEEDS=FIRST..LAST cargo test -p meadowstream --test soak by_hand
+//! -- --ignored --nocapture` plays others, three at a time.
+
+use meadowstream_test_doubles::soak::{Outcome, Totals, play};
+use std::path::Path;
+use std::sync::Mutex;
+use test_case::test_case;
+
+/// Runs that are played side by side by hand.
+const SIDE_BY_SIDE: usize = 3;
+
+fn played(seed: u64) -> Outcome {
+    play(Path::new(env!("CARGO_BIN_EXE_meadowstream")), seed)
+        .unwrap_or_else(|error| panic!("seed {seed}: {error:#}"))
+}
+
+fn report(outcome: &Outcome) -> String {
+    let Outcome { plan, breaches, order, totals } = outcome;
+    let breaches: String = breaches.iter().map(|breach| format!("  {breach}\n")).collect();
+    let Totals { sent, succeeded, crossed, unsent, descriptors } = totals;
+    format!(
+        "seed {}: {} servers, {:.0} a second, {sent} sent, {succeeded} succeeded, {crossed} crossed, \
+         {unsent} unsent, {descriptors} descriptors\n  {}\n{breaches}",
+        plan.seed,
+        plan.servers,
+        plan.rate,
+        order.join("; ")
+    )
+}
+
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(4)]
+#[test_case(5)]
+#[test_case(6)]
+#[test_case(7)]
+#[test_case(8)]
+#[test_case(9)]
+#[test_case(10)]
+#[test_case(11)]
+#[test_case(12)]
+#[test_case(13)]
+#[test_case(14)]
+#[test_case(15)]
+#[test_case(16)]
+#[test_case(17)]
+#[test_case(18)]
+#[test_case(19)]
+#[test_case(20)]
+#[test_case(21)]
+#[test_case(22)]
+#[test_case(23)]
+#[test_case(24)]
+#[test_case(25)]
+#[test_case(26)]
+#[test_case(27)]
+#[test_case(28)]
+#[test_case(29)]
+#[test_case(30)]
+#[test_case(31)]
+#[test_case(32)]
+#[test_case(33)]
+#[test_case(34)]
+#[test_case(35)]
+#[test_case(36)]
+#[test_case(37)]
+#[test_case(38)]
+#[test_case(39)]
+#[test_case(40)]
+fn every_rule_holds_under_load_and_signals(seed: u64) {
+    let outcome = played(seed);
+    assert!(outcome.breaches.is_empty(), "{}", report(&outcome));
+}
+
+/// Minutes: for runs by hand.
+#[test]
+#[ignore = "as many seeds as SOAK_SEEDS says"]
+fn by_hand() {
+    let seeds = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1..50".to_string());
+    let (first, last) = seeds.split_once("..").expect("FIRST..LAST");
+    let (first, last): (u64, u64) = (first.parse().expect("a number"), last.parse().expect("a number"));
+    let left = Mutex::new(first..=last);
+    let broken = Mutex::new(Vec::new());
+    let work = || {
+        while let Some(seed) = { left.lock().unwrap().next() } {
+            let outcome = played(seed);
+            println!("{}", report(&outcome));
+            if !outcome.breaches.is_empty() {
+                broken.lock().unwrap().push(seed);
+            }
+        }
+    };
+    std::thread::scope(|scope| (0..SIDE_BY_SIDE).for_each(|_| drop(scope.spawn(work))));
+    let broken = broken.into_inner().unwrap();
+    println!("{} seeds played, rules broken with {broken:?}", last + 1 - first);
+    assert!(broken.is_empty());
+}
--- a/crates/test-doubles/src/balancers.rs
+++ b/crates/test-doubles/src/balancers.rs
@@ -8,9 +8,12 @@
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 /// Calls in flight on one connection at most.
 const CALLS_MAX: usize = 32;
+/// A call that is sent within this time before its connection ends crosses the close.
+const CROSSING: Duration = Duration::from_millis(50);
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 
 /// A reply with the words of the wire.
@@ -44,10 +47,16 @@
     }
 }
 
+/// A caller that awaits its reply.
+struct Caller {
+    reply: Sender<Reply>,
+    sent_at: Instant,
+}
+
 struct Connection {
     stream: Async<TcpStream>,
-    /// Callers that await a reply, by the call's tag.
-    callers: RefCell<HashMap<u64, Sender<Reply>>>,
+    /// Callers by their call's tag.
+    callers: RefCell<HashMap<u64, Caller>>,
     requests: Sender<Vec<u8>>,
     last_tag: Cell<u64>,
     /// The server wants no new call here.
@@ -74,6 +83,8 @@
     pub unexpected_replies: Cell<u64>,
     /// Calls whose connection broke.
     pub broken_calls: Cell<u64>,
+    /// Of those, calls that were sent so shortly before that they crossed the close.
+    pub crossed_calls: Cell<u64>,
     /// Calls that were not sent: no connection had capacity for them, or none could be made.
     pub unsent_calls: Cell<u64>,
     /// Connections made.
@@ -94,6 +105,7 @@
             executor,
             unexpected_replies: Cell::new(0),
             broken_calls: Cell::new(0),
+            crossed_calls: Cell::new(0),
             unsent_calls: Cell::new(0),
             connects: Cell::new(0),
         })
@@ -109,7 +121,7 @@
         let tag = connection.last_tag.get() + 1;
         connection.last_tag.set(tag);
         let (caller, reply): (Sender<Reply>, Receiver<Reply>) = bounded(1);
-        connection.callers.borrow_mut().insert(tag, caller);
+        connection.callers.borrow_mut().insert(tag, Caller { reply: caller, sent_at: Instant::now() });
         let mut request = Vec::new();
         let tag = tag.to_string();
         let words = [b"RPC.CALL", tag.as_bytes(), operation.as_bytes(), fields.as_bytes(), body];
@@ -157,8 +169,11 @@
     /// Reads a connection to its end and removes it; callers that still wait get no reply.
     async fn read_until_closed(self: Rc<Self>, connection: Rc<Connection>) {
         let _ = self.read_replies(&connection).await;
-        self.broken_calls.set(self.broken_calls.get() + connection.calls_in_flight() as u64);
-        connection.callers.borrow_mut().clear();
+        for caller in std::mem::take(&mut *connection.callers.borrow_mut()).into_values() {
+            let crossed = caller.sent_at.elapsed() <= CROSSING;
+            self.broken_calls.set(self.broken_calls.get() + 1);
+            self.crossed_calls.set(self.crossed_calls.get() + u64::from(crossed));
+        }
         connection.requests.close();
         self.connections.borrow_mut().retain(|other| !Rc::ptr_eq(other, &connection));
     }
@@ -192,7 +207,7 @@
         let caller = tag.and_then(|tag| connection.callers.borrow_mut().remove(&tag));
         match caller {
             Some(caller) => {
-                let _ = caller.try_send(Reply::from_words(words));
+                let _ = caller.reply.try_send(Reply::from_words(words));
             }
             None => self.unexpected_replies.set(self.unexpected_replies.get() + 1),
         }
--- a/crates/test-doubles/src/fleet/harness.rs
+++ b/crates/test-doubles/src/fleet/harness.rs
@@ -5,13 +5,15 @@
 use super::process::ServerProcess;
 use super::{WAIT_MAX, wait_for};
 use crate::interpreter;
+use crate::interpreter::RunCounts;
 use crate::udp_relay::UdpRelay;
 use anyhow::{Context, Result};
 use serde_json::Value;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 
 /// Processes of the program behind a relay; server `i` is named `s{i}`.
@@ -198,6 +200,21 @@
         self.processes[index].as_ref().map(|process| &process.log)
     }
 
+    /// The process of server `index`, by its id; `None` where it is not started or was killed.
+    pub fn process_id(&self, index: usize) -> Option<u32> {
+        self.processes[index].as_ref().map(|process| process.child.id())
+    }
+
+    /// How server `index` has ended by itself; `None` while it runs, or where it is not started.
+    pub fn exit_status(&mut self, index: usize) -> Option<ExitStatus> {
+        self.processes[index].as_mut()?.child.try_wait().ok()?
+    }
+
+    /// What the interpreter of server `index` ran.
+    pub fn run_counts(&self, index: usize) -> Option<Arc<RunCounts>> {
+        self.processes[index].as_ref()?.runs.clone()
+    }
+
     /// The state of server `index`'s process, as the kernel names it.
     pub(super) fn process_state(&self, index: usize) -> String {
         let Some(process) = &self.processes[index] else { return "not started".to_string() };
--- a/crates/test-doubles/src/lib.rs
+++ b/crates/test-doubles/src/lib.rs
@@ -1,6 +1,6 @@
 //! Test doubles of what a server speaks to, written from its protocols: an interpreter, a downstream service,
 //! a service registry, and balancers with tenants behind them; relays that inject network faults; harnesses
-//! that run the program among them ([`tenant_rehearsal`], [`fleet`]). All listen and send on loopback alone
+//! that run the program among them ([`tenant_rehearsal`], [`fleet`]), and a seeded soak ([`soak`]). All listen and send on loopback alone
 //! and end by themselves.
 
 #![deny(missing_docs, clippy::too_many_lines)]
@@ -13,6 +13,7 @@
 pub mod interpreter;
 pub mod open_loop;
 pub mod registry;
+pub mod soak;
 pub mod tcp_relay;
 pub mod tenant_rehearsal;
 pub mod udp_relay;
--- a/crates/test-doubles/src/open_loop.rs
+++ b/crates/test-doubles/src/open_loop.rs
@@ -31,8 +31,14 @@
     pub unsent: u64,
     /// Of those without a reply, calls whose connection broke.
     pub broken: u64,
+    /// Of those whose connection broke, calls that crossed its close.
+    pub crossed: u64,
     /// Replies that no call awaited, such as a second one to the same call.
     pub unexpected: u64,
+    /// Longest time until a reply, in milliseconds.
+    pub slowest_ms: u64,
+    /// When the last call was sent that succeeded, in Unix milliseconds.
+    pub last_success_sent_ms: u64,
 }
 
 impl ReplyCounts {
@@ -59,11 +65,18 @@
 impl Load {
     /// Sends one call and counts its reply.
     async fn call(self: Rc<Self>, reference: u64) {
-        let fields = format!("ref={reference:016x},since={},sender=1,room=4", unix_ms());
+        let sent_ms = unix_ms() as u64;
+        let fields = format!("ref={reference:016x},since={sent_ms},sender=1,room=4");
         let body = format!("work={} calls", self.work.as_micros());
         let reply = self.balancer.call("load", &fields, body.as_bytes()).await;
         let mut replies = self.replies.get();
         replies.add(reply.as_ref().map(|reply| reply.outcome.as_str()));
+        if let Some(reply) = reply {
+            replies.slowest_ms = replies.slowest_ms.max((unix_ms() as u64).saturating_sub(sent_ms));
+            if reply.outcome == "good" {
+                replies.last_success_sent_ms = replies.last_success_sent_ms.max(sent_ms);
+            }
+        }
         self.replies.set(replies);
         self.in_flight.set(self.in_flight.get() - 1);
     }
@@ -100,6 +113,7 @@
         ReplyCounts {
             unsent: balancer.unsent_calls.get(),
             broken: balancer.broken_calls.get(),
+            crossed: balancer.crossed_calls.get(),
             unexpected: balancer.unexpected_replies.get(),
             ..replies.get()
         }
--- /dev/null
+++ b/crates/test-doubles/src/soak/play.rs
@@ -0,0 +1,346 @@
+//! Plays one run and checks it.
+
+use super::checks::{self, Breach, Totals};
+use super::crowd;
+use super::plan::{Event, Plan};
+use crate::downstream_service::{self, DownstreamService};
+use crate::fleet::{FleetHarness, HarnessOptions, wait_for};
+use crate::open_loop::{self, ReplyCounts};
+use anyhow::{Context, Result};
+use serde_json::Value;
+use std::net::TcpStream;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, UNIX_EPOCH};
+
+/// Calls at once that several servers share, and the least of each.
+const BUDGET_TOTAL: u64 = 8;
+const BUDGET_FLOOR: u64 = 1;
+const CORES: f64 = 4.0;
+/// A call takes this long while the service below is silent.
+const SILENT: Duration = Duration::from_secs(60);
+const POLL_PERIOD: Duration = Duration::from_millis(5);
+const START_MAX: Duration = Duration::from_secs(30);
+/// Lines of the log of a server that had to be killed.
+const LOG_TAIL: usize = 12;
+/// How long the last line of a log may take to be read.
+const LAST_LINE_MAX: Duration = Duration::from_secs(3);
+
+/// What a run came to.
+#[derive(Debug)]
+pub struct Outcome {
+    /// The run.
+    pub plan: Plan,
+    /// Rules that were broken.
+    pub breaches: Vec<Breach>,
+    /// What was done, in order, with the milliseconds since the load began.
+    pub order: Vec<String>,
+    /// Figures for the report.
+    pub totals: Totals,
+}
+
+/// Plays the run of a seed with the program. An error where the harness itself fails.
+pub fn play(program: &Path, seed: u64) -> Result<Outcome> {
+    let plan = Plan::draw(seed);
+    let mut run = Run::start(program, &plan)?;
+    run.play_events(&plan)?;
+    run.end(&plan)?;
+    run.finish(plan)
+}
+
+/// Something to do at a moment.
+enum Action {
+    Signal(&'static str),
+    Reload,
+    CallTime(Duration),
+    Crowd(usize),
+}
+
+struct Due {
+    at: Duration,
+    server: usize,
+    action: Action,
+}
+
+/// What was seen of one server.
+#[derive(Default)]
+struct Seen {
+    stopped: Duration,
+    stopped_at: Option<Instant>,
+    descriptors: u64,
+    memory_kb: u64,
+    killed: bool,
+}
+
+struct Run {
+    fleet: FleetHarness,
+    service: Arc<DownstreamService>,
+    loads: Vec<JoinHandle<ReplyCounts>>,
+    crowd: Vec<TcpStream>,
+    seen: Vec<Seen>,
+    began: Instant,
+    order: Vec<String>,
+    reloads: u64,
+}
+
+impl Run {
+    fn start(program: &Path, plan: &Plan) -> Result<Run> {
+        let (address, service) = downstream_service::start(plan.call_time)?;
+        let options = HarnessOptions {
+            cores: CORES,
+            records: vec![address; plan.servers],
+            options: options(plan, 0),
+            ..HarnessOptions::default()
+        };
+        let fleet = FleetHarness::with_options(program, plan.servers, plan.servers, plan.seed, options)?;
+        let everyone: Vec<usize> = (0..plan.servers).collect();
+        fleet.wait_for_agreement(&everyone, Instant::now(), START_MAX)?;
+        let span = Plan::span() + checks::STOP_AFTER + checks::SLACK;
+        let mut loads = Vec::new();
+        for &server in &everyone {
+            let to = fleet.listen_address(server).context("a server without an address")?;
+            let seed = plan.seed.wrapping_mul(16) + server as u64 + 1;
+            loads.push(open_loop::start(to, plan.rate, plan.work, span, seed & 0xffff_ffff));
+        }
+        let seen = everyone.iter().map(|_| Seen::default()).collect();
+        let (crowd, order, began) = (Vec::new(), Vec::new(), Instant::now());
+        Ok(Run { fleet, service, loads, crowd, seen, began, order, reloads: 0 })
+    }
+
+    fn play_events(&mut self, plan: &Plan) -> Result<()> {
+        let mut due = actions(plan);
+        due.sort_by_key(|due| due.at);
+        for Due { at, server, action } in due {
+            self.wait_until(at.min(Plan::span()));
+            self.act(server, &action)?;
+        }
+        self.wait_until(Plan::span());
+        for server in 0..plan.servers {
+            self.act(server, &Action::Signal("CONT"))?;
+        }
+        self.act(0, &Action::CallTime(plan.call_time))
+    }
+
+    fn act(&mut self, server: usize, action: &Action) -> Result<()> {
+        let at = self.began.elapsed().as_millis();
+        match action {
+            Action::Signal(name) => {
+                self.note_stop(server, name);
+                self.order.push(format!("{at} s{server} {name}"));
+                self.fleet.signal_only(server, name)?;
+            }
+            Action::Reload => {
+                self.order.push(format!("{at} s{server} HUP"));
+                self.rewrite_options(server)?;
+                self.fleet.signal_only(server, "HUP")?;
+            }
+            Action::CallTime(time) => {
+                self.order.push(format!("{at} service takes {time:?}"));
+                self.service.call_time_us.store(time.as_micros() as u64, Relaxed);
+            }
+            Action::Crowd(connections) => {
+                let to = self.fleet.listen_address(server).context("a server without an address")?;
+                self.crowd.extend(crowd::open(to, *connections));
+                self.order.push(format!("{at} s{server} crowd of {}", self.crowd.len()));
+            }
+        }
+        Ok(())
+    }
+
+    /// Adds up how long a server is stopped; a second stop meanwhile changes nothing.
+    fn note_stop(&mut self, server: usize, signal: &str) {
+        let seen = &mut self.seen[server];
+        match signal {
+            "STOP" => drop(seen.stopped_at.get_or_insert_with(Instant::now)),
+            "CONT" => seen.stopped += seen.stopped_at.take().map_or(Duration::ZERO, |at| at.elapsed()),
+            _ => {}
+        }
+    }
+
+    /// Other weights of the tenants.
+    fn rewrite_options(&mut self, server: usize) -> Result<()> {
+        let file = self.fleet.folder().join(format!("s{server}.xml"));
+        let text = std::fs::read_to_string(&file)?;
+        self.reloads += 1;
+        let (old, new) = (tenants(self.reloads - 1), tenants(self.reloads));
+        // Another server may have had the change before.
+        let earlier = (0..self.reloads).map(tenants).find(|tenants| text.contains(tenants));
+        std::fs::write(file, text.replace(&earlier.unwrap_or(old), &new))?;
+        Ok(())
+    }
+
+    /// The series of last signals to each server, then until all have ended or the kill is due.
+    fn end(&mut self, plan: &Plan) -> Result<()> {
+        let mut told = Vec::new();
+        for server in 0..plan.servers {
+            let mut told_at = None;
+            for signal in &plan.ending {
+                std::thread::sleep(signal.after);
+                self.act(server, &Action::Signal(signal.name))?;
+                if matches!(signal.name, "TERM" | "INT") {
+                    told_at.get_or_insert_with(Instant::now);
+                }
+            }
+            told.push(told_at.context("each series has a notice to leave")?);
+        }
+        let mut running: Vec<usize> = (0..plan.servers).collect();
+        while !running.is_empty() {
+            std::thread::sleep(POLL_PERIOD);
+            self.sample();
+            let fleet = &mut self.fleet;
+            running.retain(|server| fleet.exit_status(*server).is_none());
+            for server in running.clone() {
+                if told[server].elapsed() >= checks::STOP_AFTER && !self.seen[server].killed {
+                    // What it was at shows in its log.
+                    self.fleet.signal_only(server, "USR1")?;
+                    std::thread::sleep(POLL_PERIOD);
+                    self.act(server, &Action::Signal("KILL"))?;
+                    self.seen[server].killed = true;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn finish(mut self, plan: Plan) -> Result<Outcome> {
+        let (mut breaches, mut totals) = (Vec::new(), Totals::default());
+        for (server, load) in std::mem::take(&mut self.loads).into_iter().enumerate() {
+            let replies = load.join().ok().context("a load panicked")?;
+            totals.sent += replies.sent;
+            totals.succeeded += replies.succeeded;
+            totals.crossed += replies.crossed;
+            totals.unsent += replies.unsent;
+            breaches.extend(checks::of_clients(server, &replies, self.seen[server].stopped));
+            breaches.extend(self.check_server(server, &replies));
+        }
+        let most = self.service.most_in_flight.load(Relaxed);
+        if plan.servers > 1 && most > BUDGET_TOTAL {
+            breaches.push(Breach::OverBudget { most, total: BUDGET_TOTAL });
+        }
+        totals.descriptors = self.seen.iter().map(|seen| seen.descriptors).max().unwrap_or(0);
+        Ok(Outcome { plan, breaches, order: self.order, totals })
+    }
+
+    fn check_server(&mut self, server: usize, replies: &ReplyCounts) -> Vec<Breach> {
+        let mut breaches = Vec::new();
+        let Seen { descriptors, memory_kb, killed, .. } = self.seen[server];
+        if descriptors > checks::DESCRIPTORS_MAX || memory_kb > checks::MEMORY_KB_MAX {
+            breaches.push(Breach::Resources { server, descriptors, memory_kb });
+        }
+        let runs = self.fleet.run_counts(server).map_or(0, |runs| runs.repeated.load(Relaxed));
+        if runs > 0 {
+            breaches.push(Breach::RanTwice { server, runs });
+        }
+        if killed {
+            breaches.push(self.killed(server));
+            return breaches;
+        }
+        match self.fleet.exit_status(server) {
+            Some(status) if status.success() => {}
+            status => breaches.push(Breach::ExitCode { server, status: format!("{status:?}") }),
+        }
+        if let Some(told_ms) = self.message_time_ms(server, "told to leave") {
+            breaches.extend(checks::of_grace(server, replies, told_ms));
+        }
+        let line = wait_for(LAST_LINE_MAX, || self.message(server, "ended; counters:"));
+        breaches.extend(checks::of_counters(server, &line.unwrap_or_default()));
+        breaches
+    }
+
+    fn killed(&self, server: usize) -> Breach {
+        let lines = self.fleet.stamped_lines(server);
+        let text = |(at, fields): &(String, Value)| format!("{at} {fields}");
+        let of_fleet =
+            |(_, fields): &&(String, Value)| fields["message"] == "view" || fields["message"] == "shared";
+        let counters = |(_, fields): &(String, Value)| {
+            fields["message"].as_str()?.strip_prefix("counters:").map(String::from)
+        };
+        let invocations = lines.iter().rev().find_map(counters).unwrap_or_default();
+        let newest = lines.iter().rev().filter(|line| !of_fleet(line)).take(LOG_TAIL).map(text);
+        let mut log: Vec<String> = newest.collect();
+        log.reverse();
+        Breach::Killed { server, invocations, log }
+    }
+
+    /// The message of server `server`'s log that begins with `start`.
+    fn message(&self, server: usize, start: &str) -> Option<String> {
+        let lines = self.fleet.stamped_lines(server);
+        let mut messages = lines.iter().filter_map(|(_, fields)| fields["message"].as_str());
+        messages.find(|message| message.starts_with(start)).map(str::to_string)
+    }
+
+    /// When a message was written, in Unix milliseconds.
+    fn message_time_ms(&self, server: usize, message: &str) -> Option<u64> {
+        let lines = self.fleet.stamped_lines(server);
+        let (timestamp, _) = lines.iter().find(|(_, fields)| fields["message"] == message)?;
+        let time = humantime::parse_rfc3339(timestamp).ok()?;
+        time.duration_since(UNIX_EPOCH).ok().map(|since| since.as_millis() as u64)
+    }
+
+    fn wait_until(&mut self, at: Duration) {
+        while self.began.elapsed() < at {
+            self.sample();
+            std::thread::sleep(POLL_PERIOD.min(at.saturating_sub(self.began.elapsed())));
+        }
+    }
+
+    /// Descriptors and memory of each server.
+    fn sample(&mut self) {
+        for (server, seen) in self.seen.iter_mut().enumerate() {
+            let Some(id) = self.fleet.process_id(server) else { continue };
+            let open =
+                std::fs::read_dir(format!("/proc/{id}/fd")).map_or(0, |entries| entries.count() as u64);
+            seen.descriptors = seen.descriptors.max(open);
+            seen.memory_kb = seen.memory_kb.max(resident_kb(id));
+        }
+    }
+}
+
+/// Events as actions, each with its moment.
+fn actions(plan: &Plan) -> Vec<Due> {
+    let mut actions = Vec::new();
+    for scheduled in &plan.events {
+        let (at, server) = (scheduled.at, scheduled.server);
+        let mut add = |at, action| actions.push(Due { at, server, action });
+        match scheduled.event {
+            Event::Reload => add(at, Action::Reload),
+            Event::LogCounters => add(at, Action::Signal("USR1")),
+            Event::Stop { span } => {
+                add(at, Action::Signal("STOP"));
+                add(at + span, Action::Signal("CONT"));
+            }
+            Event::SilentService { span } => {
+                add(at, Action::CallTime(SILENT));
+                add(at + span, Action::CallTime(plan.call_time));
+            }
+            Event::Crowd { connections } => add(at, Action::Crowd(connections)),
+        }
+    }
+    actions
+}
+
+fn tenants(change: u64) -> String {
+    format!(r#"<tenants by="sender"><tenant name="1" weight="{}"/></tenants>"#, 1 + change)
+}
+
+fn options(plan: &Plan, change: u64) -> String {
+    if plan.servers == 1 {
+        return tenants(change);
+    }
+    let voters: String = (0..plan.servers).map(|server| format!(r#"<voter name="s{server}"/>"#)).collect();
+    format!(
+        r#"{}<shared-state gossip-ms="100"><budget name="records" total="{BUDGET_TOTAL}"
+        floor="{BUDGET_FLOOR}" servers="{}" lease-ms="2000" use-most-ms="500">{voters}</budget></shared-state>"#,
+        tenants(change),
+        plan.servers
+    )
+}
+
+/// Resident memory of a process in KiB; 0 where it has ended.
+fn resident_kb(id: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    resident.and_then(|text| text.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+}
