The grace and the stop count from the notice where the first link comes after it

Cause: at the first link the controller is started and told of the notice as if it had come then, with the whole of stop_ms and of the grace again.

The simulator's host gives the same time for both, so its decisions are those of before.

--- a/crates/cli/tests/server.rs
+++ b/crates/cli/tests/server.rs
@@ -38,6 +38,7 @@
 #[test_case("drain_while_callers_come")]
 #[test_case("drain_takes_the_backlog")]
 #[test_case("drain_before_the_banner")]
+#[test_case("drain_then_the_first_link")]
 #[test_case("log_unread")]
 #[test_case("killed_and_started_again")]
 #[test_case("catalog")]
--- a/crates/overload-control/src/controller/events.rs
+++ b/crates/overload-control/src/controller/events.rs
@@ -114,10 +114,11 @@
         }
     }
 
-    /// The process stops after `grace`.
-    pub fn on_drain_notice(&mut self, now: Nanos, grace: Nanos, host: &mut dyn Host) {
+    /// The notice to drain came at `noticed_at`, which may be before the controller was started; the process
+    /// stops `grace` after it.
+    pub fn on_drain_notice(&mut self, now: Nanos, noticed_at: Nanos, grace: Nanos, host: &mut dyn Host) {
         self.advance(now);
-        self.draining.begin(now, grace);
+        self.draining.begin(noticed_at, grace);
         host.log(log_lines::DRAINING_BEGAN);
         self.apply_rules(host);
     }
--- a/crates/overload-control/src/draining.rs
+++ b/crates/overload-control/src/draining.rs
@@ -34,9 +34,10 @@
         }
     }
 
-    /// The process stops after `grace`.
-    pub fn begin(&mut self, now: Nanos, grace: Nanos) {
-        self.notice = Some(Notice { serve_until: now + self.drain_grace, stop_at: now + grace });
+    /// The notice came at `noticed_at`; the process stops `grace` after it.
+    pub fn begin(&mut self, noticed_at: Nanos, grace: Nanos) {
+        self.notice =
+            Some(Notice { serve_until: noticed_at + self.drain_grace, stop_at: noticed_at + grace });
     }
 
     /// Whether the notice has come.
--- a/crates/overload-control/tests/days.rs
+++ b/crates/overload-control/tests/days.rs
@@ -281,7 +281,7 @@
                     Gauges { utilization: Some(busy), runnable: Some(world.runs.len() as f64 + 0.5) };
                 controller.on_timer(at, token, gauges, &mut world);
             }
-            Event::DrainNotice => controller.on_drain_notice(at, 3000 * MS, &mut world),
+            Event::DrainNotice => controller.on_drain_notice(at, at, 3000 * MS, &mut world),
         }
     }
     (world.count, world.decisions.finish())
--- a/crates/overload-control/tests/scenarios.rs
+++ b/crates/overload-control/tests/scenarios.rs
@@ -290,7 +290,7 @@
                 let took = words.get(3).map_or(MS, |ms| number(ms) as Nanos * MS);
                 controller.on_call_finished(now, id(), ending(words[2]), took, &mut self.seen);
             }
-            "leave" => controller.on_drain_notice(now, number(words[1]) as Nanos * MS, &mut self.seen),
+            "leave" => controller.on_drain_notice(now, now, number(words[1]) as Nanos * MS, &mut self.seen),
             "gone" => controller.on_caller_gone(now, id(), &mut self.seen),
             other => panic!("unknown step {other}"),
         }
--- a/crates/server/src/event_loop/mod.rs
+++ b/crates/server/src/event_loop/mod.rs
@@ -150,9 +150,13 @@
         self.with_controller(|controller, now, actions| controller.on_caller_gone(now, id, actions));
     }
 
+    /// The grace counts from the notice, also where the controller starts after it.
     fn handle_shutdown(&mut self) {
+        let Some(noticed_at) = self.actions.server.noticed_at.get() else { return };
         let grace = self.actions.server.configuration.stop_ms * 1_000_000;
-        self.with_controller(|controller, now, actions| controller.on_drain_notice(now, grace, actions));
+        self.with_controller(|controller, now, actions| {
+            controller.on_drain_notice(now, noticed_at, grace, actions);
+        });
     }
 
     /// Applies one part of a change of weights and shares, and notes how long that took.
@@ -196,9 +200,7 @@
             return;
         }
         self.start_controller(cold, age);
-        if self.actions.server.leaves() {
-            self.handle_shutdown();
-        }
+        self.handle_shutdown();
     }
 
     /// Starts the controller by the options in force, which may have changed before the first link.
--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -154,6 +154,7 @@
         pool: Pool::default(),
         descriptors,
         buffers,
+        noticed_at: Cell::new(None),
         grace_over: Cell::new(false),
         accepts_no_more: Cell::new(false),
         stop_at: Cell::new(None),
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -49,6 +49,8 @@
     pub buffers: Rc<BufferBudget>,
     /// Notifies the link that the interpreter has another address.
     pub interpreter_moved: (Sender<()>, Receiver<()>),
+    /// When the notice to leave came.
+    pub noticed_at: Cell<Option<Nanos>>,
     /// The server is draining and wants no new call.
     pub grace_over: Cell<bool>,
     /// The stop is so near that no further connection is accepted.
--- a/crates/simulator-adapter/src/instances.rs
+++ b/crates/simulator-adapter/src/instances.rs
@@ -85,7 +85,7 @@
             Event::CallFinished { id, outcome, took } => {
                 self.controller.on_call_finished(now, id, outcome, took, reply);
             }
-            Event::DrainNotice { grace } => self.controller.on_drain_notice(now, grace, reply),
+            Event::DrainNotice { grace } => self.controller.on_drain_notice(now, now, grace, reply),
             Event::CallerGone { id } => self.controller.on_caller_gone(now, id, reply),
             Event::Timer { timer, gauges } => {
                 let gauges = self.gauges(gauges)?;
