One state for the drain in place of four flags of the server

lifecycle::drain::DrainState goes one way from serving by grace and rejecting to closing, and keeps when the notice came and by when a server that leaves of its own accord ends.

--- a/crates/server/src/connection/accept.rs
+++ b/crates/server/src/connection/accept.rs
@@ -33,7 +33,7 @@
         if drain::is_over(&server) && accept_backlog(&server, &listener) != Backlog::Accepted {
             return;
         }
-        if server.accepts_no_more.get() && accept_backlog(&server, &listener) != Backlog::Waiting {
+        if !server.drain.accepts_connections() && accept_backlog(&server, &listener) != Backlog::Waiting {
             return;
         }
         let Some(descriptor) = server.descriptors.for_connection() else {
--- a/crates/server/src/connection/task.rs
+++ b/crates/server/src/connection/task.rs
@@ -168,7 +168,7 @@
                 if !self.state.close_call(tag) {
                     return Ok(());
                 }
-                if self.server.grace_over.get() {
+                if self.server.drain.is_grace_over() {
                     self.connection.drain();
                 }
                 self.answer(tag, &answer)
--- a/crates/server/src/event_loop/mod.rs
+++ b/crates/server/src/event_loop/mod.rs
@@ -152,7 +152,7 @@
 
     /// The grace counts from the notice, also where the controller starts after it.
     fn handle_shutdown(&mut self) {
-        let Some(noticed_at) = self.actions.server.noticed_at.get() else { return };
+        let Some(noticed_at) = self.actions.server.drain.noticed_at() else { return };
         let grace = self.actions.server.configuration.stop_ms * 1_000_000;
         self.with_controller(|controller, now, actions| {
             controller.on_drain_notice(now, noticed_at, grace, actions);
--- a/crates/server/src/fleet/rollout.rs
+++ b/crates/server/src/fleet/rollout.rs
@@ -164,7 +164,7 @@
         Ok(()) => {
             info!(target: "fleet", program = adopt.is_some(), "ends for another program");
             let stop = server.configuration.stop_ms * 1_000_000;
-            server.stop_at.set(Some(server.clock.now() + stop));
+            server.drain.end_by(server.clock.now() + stop);
             let _ = rollout.leave.try_send(());
         }
         Err(error) => {
--- a/crates/server/src/lifecycle/drain.rs
+++ b/crates/server/src/lifecycle/drain.rs
@@ -2,43 +2,94 @@
 
 use crate::server::Server;
 use async_io::Timer;
+use meadowstream_overload_control::Nanos;
+use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Pause between looks whether the drain is over.
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 
-/// Connections are accepted for so many parts of the time to the stop, of so many. Callers that have not heard
-/// of the leave come until the end, and what they send right before the stop could not be answered any more; in
-/// the rest of the time a connection may linger twice, see `connection::task`.
-const ACCEPT_PARTS: u32 = 5;
-const ACCEPT_PARTS_OF: u32 = 8;
+/// Connections are accepted for so many eighths of the time to the stop. Callers that have not heard of the
+/// leave come until the end, and what they send right before the stop could not be answered any more; in the
+/// rest of the time a connection may linger twice, see `connection::task`.
+const ACCEPTING_EIGHTHS: u32 = 5;
 
-/// Ends the grace, in which arrivals are still run: callers notice late that a server leaves, and the servers
-/// that stay would miss its capacity. It ends half way to the stop at the latest. From then on no call is
-/// wanted.
-pub async fn end_grace(server: Rc<Server>) {
+/// How far the drain has come; it goes one way.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    /// No notice to leave has come.
+    #[default]
+    Serving,
+    /// Arrivals are still run: callers notice late that a server leaves, and the servers that stay would miss its
+    /// capacity.
+    Grace,
+    /// No call is wanted any more; callers that come are answered.
+    Rejecting,
+    /// The stop is so near that no further connection is accepted.
+    Closing,
+}
+
+/// The state of the drain.
+#[derive(Default)]
+pub struct DrainState {
+    phase: Cell<Phase>,
+    /// When the notice to leave came.
+    noticed_at: Cell<Option<Nanos>>,
+    /// When the process ends at the latest, where it leaves of its own accord and nobody else ends it.
+    ends_by: Cell<Option<Nanos>>,
+}
+
+impl DrainState {
+    /// The notice to leave has come.
+    pub fn begin(&self, now: Nanos) {
+        self.noticed_at.set(Some(now));
+        self.phase.set(Phase::Grace);
+    }
+
+    /// When the notice to leave came.
+    pub fn noticed_at(&self) -> Option<Nanos> {
+        self.noticed_at.get()
+    }
+
+    /// Whether no call is wanted any more.
+    pub fn is_grace_over(&self) -> bool {
+        self.phase.get() >= Phase::Rejecting
+    }
+
+    /// Whether further connections are accepted.
+    pub fn accepts_connections(&self) -> bool {
+        self.phase.get() < Phase::Closing
+    }
+
+    /// The process leaves of its own accord and ends then at the latest.
+    pub fn end_by(&self, at: Nanos) {
+        self.ends_by.set(Some(at));
+    }
+
+    fn has_stopped(&self, now: Nanos) -> bool {
+        self.ends_by.get().is_some_and(|at| now >= at)
+    }
+}
+
+/// Takes the drain through its phases. The grace ends half way to the stop at the latest.
+pub async fn run(server: Rc<Server>) {
     let stop = Duration::from_millis(server.configuration.stop_ms);
     let grace = Duration::from_nanos(server.configuration.settings.deployment.drain_grace);
-    let accepting = stop * ACCEPT_PARTS / ACCEPT_PARTS_OF;
-    let told_at = Instant::now();
-    Timer::at(told_at + grace.min(stop / 2)).await;
-    server.grace_over.set(true);
+    let accepting = stop * ACCEPTING_EIGHTHS / 8;
+    let noticed_at = server.clock.instant(server.drain.noticed_at().unwrap_or_else(|| server.clock.now()));
+    Timer::at(noticed_at + grace.min(stop / 2)).await;
+    server.drain.phase.set(Phase::Rejecting);
     server.connections.drain_all();
-    Timer::at(told_at + accepting).await;
-    server.accepts_no_more.set(true);
-}
-
-/// A server that leaves of its own accord ends at the stop at the latest, as nobody else ends it then.
-fn has_stopped(server: &Server) -> bool {
-    server.stop_at.get().is_some_and(|at| server.clock.now() >= at)
+    Timer::at(noticed_at + accepting).await;
+    server.drain.phase.set(Phase::Closing);
 }
 
 /// Whether no connection is left that could bring a call. Each is asked for no new call at the end of the
 /// grace or with its next answer, and its peer closes it when everything on it is answered.
 pub fn is_over(server: &Server) -> bool {
-    let drained = server.grace_over.get() && server.connections.count() == 0 && server.events.is_empty();
-    drained || has_stopped(server)
+    let is_empty = server.connections.count() == 0 && server.events.is_empty();
+    (server.drain.is_grace_over() && is_empty) || server.drain.has_stopped(server.clock.now())
 }
 
 /// Returns when it is time to look whether the drain is over: at once when the server starts to leave, and
--- a/crates/server/src/lifecycle/signals.rs
+++ b/crates/server/src/lifecycle/signals.rs
@@ -39,9 +39,9 @@
             Ok(Signal::Hup) => server.executor.spawn(reload::reload(server.clone())).detach(),
             Ok(_) if stay.close() => {
                 info!("told to leave");
-                server.noticed_at.set(Some(server.clock.now()));
+                server.drain.begin(server.clock.now());
                 let _ = server.events.send(Event::Shutdown).await;
-                server.executor.spawn(drain::end_grace(server.clone())).detach();
+                server.executor.spawn(drain::run(server.clone())).detach();
             }
             _ => {}
         }
--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -14,6 +14,7 @@
 use crate::interpreter::link;
 use crate::lifecycle::changes::Changes;
 use crate::lifecycle::clock::Clock;
+use crate::lifecycle::drain::DrainState;
 use crate::lifecycle::{catalog, drain, reload, signals};
 use crate::resources::buffers::BufferBudget;
 use crate::resources::counters::Counters;
@@ -154,10 +155,7 @@
         pool: Pool::default(),
         descriptors,
         buffers,
-        noticed_at: Cell::new(None),
-        grace_over: Cell::new(false),
-        accepts_no_more: Cell::new(false),
-        stop_at: Cell::new(None),
+        drain: DrainState::default(),
         interpreter_moved: async_channel::bounded(1),
         counters: Counters::default(),
         left,
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -8,6 +8,7 @@
 use crate::fleet::shared_state::Shared;
 use crate::lifecycle::changes::Changes;
 use crate::lifecycle::clock::Clock;
+use crate::lifecycle::drain::DrainState;
 use crate::lifecycle::pause::Pauses;
 use crate::resources::buffers::BufferBudget;
 use crate::resources::counters::Counters;
@@ -17,7 +18,6 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::AsyncReadExt;
-use meadowstream_overload_control::Nanos;
 use std::cell::Cell;
 use std::io::{ErrorKind, Result};
 use std::net::TcpStream;
@@ -49,14 +49,8 @@
     pub buffers: Rc<BufferBudget>,
     /// Notifies the link that the interpreter has another address.
     pub interpreter_moved: (Sender<()>, Receiver<()>),
-    /// When the notice to leave came.
-    pub noticed_at: Cell<Option<Nanos>>,
-    /// The server is draining and wants no new call.
-    pub grace_over: Cell<bool>,
-    /// The stop is so near that no further connection is accepted.
-    pub accepts_no_more: Cell<bool>,
-    /// When it ends at the latest, where it leaves without a signal.
-    pub stop_at: Cell<Option<Nanos>>,
+    /// How far the drain has come.
+    pub drain: DrainState,
     /// Closed once the server is to leave.
     pub left: Receiver<()>,
     /// State shared with other servers, where the options say so.
