A leaving server accepts until seven eighths of the time to the stop, then asks all to go

Change: the listener closes after seven eighths; all connections hear `enough` then, so that none that came since and rests brings a call at the kill.

--- a/crates/server/src/lifecycle/drain.rs
+++ b/crates/server/src/lifecycle/drain.rs
@@ -11,9 +11,9 @@
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 
 /// Connections are accepted for so many eighths of the time to the stop. Callers that have not heard of the
-/// leave come until the end, and what they send right before the stop could not be answered any more; in the
-/// rest of the time a connection may linger twice, see `connection::task`.
-const ACCEPTING_EIGHTHS: u32 = 5;
+/// leave come until the end, where an answer costs them less than a refused connection; but what they send
+/// right before the stop could not be answered any more.
+const ACCEPTING_EIGHTHS: u32 = 7;
 
 /// How far the drain has come; it goes one way.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -83,6 +83,8 @@
     server.connections.drain_all();
     Timer::at(noticed_at + accepting).await;
     server.drain.phase.set(Phase::Closing);
+    // Those that came since and rest.
+    server.connections.drain_all();
 }
 
 /// Whether no connection is left that could bring a call. Each is asked for no new call at the end of the
