Soak and fleet_state tell a machine that stands still from a server that does

The order of events shows that the harness itself stood still: steps meant within 40 ms came 3 to 4 s apart, one kill 5 s late.

--- a/crates/cli/tests/fleet_state.rs
+++ b/crates/cli/tests/fleet_state.rs
@@ -165,6 +165,9 @@
     let answers = sum(load);
     let most = records.most_in_flight.load(Relaxed);
     println!("{most} at once of {TOTAL}; {answers:?}");
+    if most > TOTAL {
+        println!("busiest: {:#?}", records.busiest_moment());
+    }
     assert!(most <= TOTAL, "{most} at once");
 }
 
--- a/crates/test-doubles/src/downstream_service.rs
+++ b/crates/test-doubles/src/downstream_service.rs
@@ -43,6 +43,15 @@
         self.served.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// The calls that were in flight when most were, by the times at which they came and ended.
+    pub fn busiest_moment(&self) -> Vec<ServedCall> {
+        let served = self.served();
+        let in_flight_at =
+            |at: u64| served.iter().filter(move |call| call.arrived_us <= at && at < call.ended_us);
+        let busiest = served.iter().map(|call| call.arrived_us).max_by_key(|at| in_flight_at(*at).count());
+        busiest.map_or(Vec::new(), |at| in_flight_at(at).copied().collect())
+    }
+
     fn record(&self, call: ServedCall) {
         self.served.lock().unwrap_or_else(PoisonError::into_inner).push(call);
     }
--- a/crates/test-doubles/src/soak/checks.rs
+++ b/crates/test-doubles/src/soak/checks.rs
@@ -44,7 +44,7 @@
         server: usize,
         /// The slowest answer.
         slowest_ms: u64,
-        /// How long the server was stopped in all.
+        /// How long the server was stopped or the machine stood still, in all.
         stopped: Duration,
     },
     /// A run began again after it had ended.
@@ -123,6 +123,8 @@
     pub unsent: u64,
     /// Most descriptors of a server.
     pub descriptors: u64,
+    /// How long the machine stood still, in milliseconds.
+    pub stalled_ms: u64,
 }
 
 /// Breaches that the clients of one server saw. Calls may cross the end of a connection, but not the kill.
