--- a/crates/cli/tests/scenario_harness/mod.rs
+++ b/crates/cli/tests/scenario_harness/mod.rs
@@ -17,8 +17,8 @@
 //!   `flood A N` sends N checks without reading, `drink A N` reads as many answers.
 //! - `link INDEX` (takes a link that must have read that far), `banner warm|cold [AGE_MS]`, `told VERB TAG
 //!   [BODY]`, `any-told VERB` whatever its task, `half-a-banner`, `vm full` and `vm takes` (nobody accepts
-//!   there for a while), `dials anew`, `a dial given up` (as if by the server), `notice JSON` (TAG written `#7` becomes
-//!   its reference, `=text=`
+//!   there for a while), `dials anew`, `a dial given up` (as if by the server), `notice JSON` (TAG written
+//!   `#7` becomes its reference, `=text=`
 //!   base64), `gauges on|off`, `unlink`. Questions for gauges that come after a banner are answered
 //!   once the notices that stand right behind it have been sent, as the interpreter replays them.
 //! - `called TAG BODY`, `reply STATUS BODY [HEADER]`, `hang up` (on the call), `given up` (by the server),
@@ -270,8 +270,8 @@
         self.balancer(name).stream.get_mut().write_all(bytes).unwrap();
     }
 
-    /// Takes the next link and its first command. A dial that the server has given up may stand before it: the
-    /// kernel answers a dial after a second in which the queue was full, and a dial may take a second.
+    /// Takes the next link and its first command. A dial that the server has given up may stand before it:
+    /// the kernel answers a dial after a second in which the queue was full, and a dial may take a second.
     fn take_link(&mut self) -> Value {
         loop {
             let link = Link::new(accept(&self.interpreter), self.gauges.clone());
--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -1,5 +1,5 @@
-//! The soak, short: runs of a few seeds. `SOAK_SEEDS=FIRST..LAST cargo test -p meadowstream --test soak by_hand
-//! -- --ignored --nocapture` plays others, three at a time.
+//! The soak, short: runs of a few seeds. Others are played three at a time by
+//! `SOAK_SEEDS=FIRST..LAST cargo test -p meadowstream --test soak by_hand -- --ignored --nocapture`.
 
 use meadowstream_test_doubles::soak::{Outcome, Totals, play};
 use std::path::Path;
--- a/crates/server/src/connection/accept.rs
+++ b/crates/server/src/connection/accept.rs
@@ -24,9 +24,9 @@
     Waiting,
 }
 
-/// Ends with the listener closed, once the drain is over or the stop is near. Until then connections are still
-/// accepted: callers notice late that a server leaves, and an answer here costs them less than a refused
-/// connection.
+/// Ends with the listener closed, once the drain is over or the stop is near. Until then connections are
+/// still accepted: callers notice late that a server leaves, and an answer here costs them less than a
+/// refused connection.
 pub async fn accept(server: Rc<Server>, listener: Async<TcpListener>) {
     let mut exhausted = false;
     loop {
--- a/crates/server/src/interpreter/link/tests.rs
+++ b/crates/server/src/interpreter/link/tests.rs
@@ -8,8 +8,8 @@
 /// Longest reply of a downstream call, in bytes.
 const REPLY_BYTES: usize = 16 * 1024;
 
-/// Guards against commands that are lost: a long reply was dropped where it did not fit beside those that
-/// waited with it, and its run waited for ever.
+/// A long reply was dropped where it did not fit beside those that waited with it, and its run waited for
+/// ever.
 #[test]
 fn long_replies_that_wait_together_are_all_written() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/server/src/lifecycle/drain.rs
+++ b/crates/server/src/lifecycle/drain.rs
@@ -1,9 +1,8 @@
 //! The drain: when a server that was told to leave may end.
 
+use crate::lifecycle::drain_state::Phase;
 use crate::server::Server;
 use async_io::Timer;
-use meadowstream_overload_control::Nanos;
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,63 +14,6 @@
 /// right before the stop could not be answered any more.
 const ACCEPTING_EIGHTHS: u32 = 7;
 
-/// How far the drain has come; it goes one way.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-enum Phase {
-    /// No notice to leave has come.
-    #[default]
-    Serving,
-    /// Arrivals are still run: callers notice late that a server leaves, and the servers that stay would miss its
-    /// capacity.
-    Grace,
-    /// No call is wanted any more; callers that come are answered.
-    Rejecting,
-    /// The stop is so near that no further connection is accepted.
-    Closing,
-}
-
-/// The state of the drain.
-#[derive(Default)]
-pub struct DrainState {
-    phase: Cell<Phase>,
-    /// When the notice to leave came.
-    noticed_at: Cell<Option<Nanos>>,
-    /// When the process ends at the latest, where it leaves of its own accord and nobody else ends it.
-    ends_by: Cell<Option<Nanos>>,
-}
-
-impl DrainState {
-    /// The notice to leave has come.
-    pub fn begin(&self, now: Nanos) {
-        self.noticed_at.set(Some(now));
-        self.phase.set(Phase::Grace);
-    }
-
-    /// When the notice to leave came.
-    pub fn noticed_at(&self) -> Option<Nanos> {
-        self.noticed_at.get()
-    }
-
-    /// Whether no call is wanted any more.
-    pub fn is_grace_over(&self) -> bool {
-        self.phase.get() >= Phase::Rejecting
-    }
-
-    /// Whether further connections are accepted.
-    pub fn accepts_connections(&self) -> bool {
-        self.phase.get() < Phase::Closing
-    }
-
-    /// The process leaves of its own accord and ends then at the latest.
-    pub fn end_by(&self, at: Nanos) {
-        self.ends_by.set(Some(at));
-    }
-
-    fn has_stopped(&self, now: Nanos) -> bool {
-        self.ends_by.get().is_some_and(|at| now >= at)
-    }
-}
-
 /// Takes the drain through its phases. The grace ends half way to the stop at the latest.
 pub async fn run(server: Rc<Server>) {
     let stop = Duration::from_millis(server.configuration.stop_ms);
@@ -79,10 +21,10 @@
     let accepting = stop * ACCEPTING_EIGHTHS / 8;
     let noticed_at = server.clock.instant(server.drain.noticed_at().unwrap_or_else(|| server.clock.now()));
     Timer::at(noticed_at + grace.min(stop / 2)).await;
-    server.drain.phase.set(Phase::Rejecting);
+    server.drain.enter(Phase::Rejecting);
     server.connections.drain_all();
     Timer::at(noticed_at + accepting).await;
-    server.drain.phase.set(Phase::Closing);
+    server.drain.enter(Phase::Closing);
     // Those that came since and rest.
     server.connections.drain_all();
 }
--- a/crates/server/src/lifecycle/mod.rs
+++ b/crates/server/src/lifecycle/mod.rs
@@ -4,6 +4,7 @@
 pub mod changes;
 pub mod clock;
 pub mod drain;
+pub mod drain_state;
 pub mod files;
 pub mod pause;
 pub mod reload;
--- a/crates/server/src/lifecycle/start.rs
+++ b/crates/server/src/lifecycle/start.rs
@@ -14,7 +14,7 @@
 use crate::interpreter::link;
 use crate::lifecycle::changes::Changes;
 use crate::lifecycle::clock::Clock;
-use crate::lifecycle::drain::DrainState;
+use crate::lifecycle::drain_state::DrainState;
 use crate::lifecycle::{catalog, drain, reload, signals};
 use crate::resources::buffers::BufferBudget;
 use crate::resources::counters::Counters;
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -8,7 +8,7 @@
 use crate::fleet::shared_state::Shared;
 use crate::lifecycle::changes::Changes;
 use crate::lifecycle::clock::Clock;
-use crate::lifecycle::drain::DrainState;
+use crate::lifecycle::drain_state::DrainState;
 use crate::lifecycle::pause::Pauses;
 use crate::resources::buffers::BufferBudget;
 use crate::resources::counters::Counters;
--- a/crates/test-doubles/src/lib.rs
+++ b/crates/test-doubles/src/lib.rs
@@ -1,7 +1,7 @@
 //! Test doubles of what a server speaks to, written from its protocols: an interpreter, a downstream service,
 //! a service registry, and balancers with tenants behind them; relays that inject network faults; harnesses
-//! that run the program among them ([`tenant_rehearsal`], [`fleet`]), and a seeded soak ([`soak`]). All listen and send on loopback alone
-//! and end by themselves.
+//! that run the program among them ([`tenant_rehearsal`], [`fleet`]), and a seeded soak ([`soak`]).
+//! All listen and send on loopback alone and end by themselves.
 
 #![deny(missing_docs, clippy::too_many_lines)]
 
--- a/crates/test-doubles/src/soak.rs
+++ b/crates/test-doubles/src/soak.rs
@@ -1,9 +1,9 @@
-//! A soak: processes of the program under load and signals, every moment and choice drawn from a seed. Clients
-//! go on until the kill, which comes at the earliest moment that the protocol allows: the time to stop after
-//! the notice to leave. What is checked holds whatever the machine's load; [`play`] returns what was broken.
+//! A soak: processes of the program under load and signals, every moment and choice drawn from a seed.
+//! Clients go on until the kill, which comes at the earliest moment that the protocol allows: the time to
+//! stop after the notice to leave. [`play`] returns the rules that were broken.
 
 mod checks;
-mod crowd;
+mod idle_connections;
 mod plan;
 mod play;
 
--- a/crates/test-doubles/src/soak/plan.rs
+++ b/crates/test-doubles/src/soak/plan.rs
@@ -31,7 +31,7 @@
         span: Duration,
     },
     /// Connections that say nothing, more than the server has descriptors for, until the end.
-    Crowd {
+    IdleConnections {
         /// How many.
         connections: usize,
     },
@@ -86,7 +86,7 @@
         if rng.random_bool(0.3) {
             let connections = rng.random_range(280..400);
             let (at, server) = (draw_moment(&mut rng), rng.random_range(0..servers));
-            events.push(Scheduled { at, server, event: Event::Crowd { connections } });
+            events.push(Scheduled { at, server, event: Event::IdleConnections { connections } });
         }
         events.sort_by_key(|scheduled| scheduled.at);
         let series: [&[&'static str]; 5] = [
--- a/crates/test-doubles/src/soak/play.rs
+++ b/crates/test-doubles/src/soak/play.rs
@@ -1,7 +1,7 @@
 //! Plays one run and checks it.
 
 use super::checks::{self, Breach, Totals};
-use super::crowd;
+use super::idle_connections;
 use super::plan::{Event, Plan};
 use crate::downstream_service::{self, DownstreamService};
 use crate::fleet::{FleetHarness, HarnessOptions, wait_for};
@@ -22,8 +22,8 @@
 /// A call takes this long while the service below is silent.
 const SILENT: Duration = Duration::from_secs(60);
 const CONNECT_MAX: Duration = Duration::from_millis(200);
-/// A poll that takes this long shows that the machine stood still, or had no core for anybody; the protocol does
-/// not count such time.
+/// A poll that takes this long shows that the machine stood still, or had no core for anybody; the protocol
+/// does not count such time.
 const STALL: Duration = Duration::from_millis(200);
 const POLL_PERIOD: Duration = Duration::from_millis(5);
 const START_MAX: Duration = Duration::from_secs(30);
@@ -59,7 +59,7 @@
     Signal(&'static str),
     Reload,
     CallTime(Duration),
-    Crowd(usize),
+    IdleConnections(usize),
 }
 
 struct Due {
@@ -83,7 +83,7 @@
     fleet: FleetHarness,
     service: Arc<DownstreamService>,
     loads: Vec<JoinHandle<ReplyCounts>>,
-    crowd: Vec<TcpStream>,
+    idle: Vec<TcpStream>,
     seen: Vec<Seen>,
     began: Instant,
     polled_at: Instant,
@@ -113,9 +113,9 @@
             loads.push(open_loop::start(to, plan.rate, plan.work, span, seed & 0xffff_ffff));
         }
         let seen = everyone.iter().map(|_| Seen::default()).collect();
-        let (crowd, order, began) = (Vec::new(), Vec::new(), Instant::now());
+        let (idle, order, began) = (Vec::new(), Vec::new(), Instant::now());
         let (polled_at, stalled) = (began, Duration::ZERO);
-        Ok(Run { fleet, service, loads, crowd, seen, began, polled_at, stalled, order, reloads: 0 })
+        Ok(Run { fleet, service, loads, idle, seen, began, polled_at, stalled, order, reloads: 0 })
     }
 
     fn play_events(&mut self, plan: &Plan) -> Result<()> {
@@ -149,11 +149,11 @@
                 self.order.push(format!("{at} service takes {time:?}"));
                 self.service.call_time_us.store(time.as_micros() as u64, Relaxed);
             }
-            Action::Crowd(connections) => {
+            Action::IdleConnections(connections) => {
                 let to = self.fleet.listen_address(server).context("a server without an address")?;
-                self.crowd.extend(crowd::open(to, *connections));
+                self.idle.extend(idle_connections::open(to, *connections));
                 self.polled_at = Instant::now();
-                self.order.push(format!("{at} s{server} crowd of {}", self.crowd.len()));
+                self.order.push(format!("{at} s{server} idle connections {}", self.idle.len()));
             }
         }
         Ok(())
@@ -344,7 +344,7 @@
                 add(at, Action::CallTime(SILENT));
                 add(at + span, Action::CallTime(plan.call_time));
             }
-            Event::Crowd { connections } => add(at, Action::Crowd(connections)),
+            Event::IdleConnections { connections } => add(at, Action::IdleConnections(connections)),
         }
     }
     actions
@@ -361,7 +361,8 @@
     let voters: String = (0..plan.servers).map(|server| format!(r#"<voter name="s{server}"/>"#)).collect();
     format!(
         r#"{}<shared-state gossip-ms="100"><budget name="records" total="{BUDGET_TOTAL}"
-        floor="{BUDGET_FLOOR}" servers="{}" lease-ms="2000" use-most-ms="500">{voters}</budget></shared-state>"#,
+        floor="{BUDGET_FLOOR}" servers="{}" lease-ms="2000" use-most-ms="500">{voters}</budget>
+        </shared-state>"#,
         tenants(change),
         plan.servers
     )
