--- a/review/stand-ins/src/case_interpreter.rs
+++ b/review/stand-ins/src/case_interpreter.rs
@@ -10,6 +10,8 @@
 
 /// Work of a booking, in milliseconds, as the site has it (220 to 380 ms).
 const WORK_MS: u64 = 350;
+/// Time from the beginning of the booking to the kill of the interpreter.
+const KILLED_AFTER: Duration = Duration::from_millis(250);
 const BOOKING: &str = "book-pickup";
 
 fn configuration(listen: &str, interpreter: &str, catalog: &str) -> String {
@@ -66,7 +68,7 @@
         return Err("no booking began".into());
     }
     if test.trouble {
-        std::thread::sleep(Duration::from_millis(100));
+        std::thread::sleep(KILLED_AFTER);
         running.kill();
         test.record.write("interpreter killed (SIGKILL)");
         // Whatever supervises the interpreter starts it again.
