--- a/review/stand-ins/src/case_revert.rs
+++ b/review/stand-ins/src/case_revert.rs
@@ -170,6 +170,10 @@
     }
     std::thread::sleep(Duration::from_secs(3));
     let status = publish(test, "publish-status", "status --wait 30", || {})?;
+    // Once the revert is made, the same command is refused and names the first revision after `number` that has
+    // changed the key. It changes nothing.
+    let again = publish(test, "publish-again", &format!("revert {number} --wait 30"), || {})?;
+    let first_change = number_after(&again.text, "was changed again by ");
     for index in 0..CONTROLS {
         test.record.copy(&format!("c{index}"), &test.log(&format!("c{index}")), |line| line.contains("publishes="));
     }
@@ -187,7 +191,15 @@
         );
         return Ok(Finding::Broken(why));
     }
-    if let (0, Some(committed)) = (reverted.code, number_after(&reverted.text, "committed as revision ")) {
+    let committed = number_after(&reverted.text, "committed as revision ");
+    if let (0, Some(committed), Some(first)) = (reverted.code, committed, first_change) {
+        if first != committed {
+            let why = format!(
+                "the revert of {number} is answered as revision {committed}, but {first} has changed the key before; \
+                 nobody else has published, so the revert was made twice"
+            );
+            return Ok(Finding::Broken(why));
+        }
         return Ok(Finding::Held(format!("the revert is committed as revision {committed}, the newest is {newest}")));
     }
     Ok(Finding::CouldNotRun(format!("the revert ended otherwise: {}", reverted.text)))
