--- a/review/stand-ins/src/client.rs
+++ b/review/stand-ins/src/client.rs
@@ -14,14 +14,11 @@
 pub struct Answer {
     pub at_ms: u64,
     pub word: String,
-    pub body: String,
 }
 
 /// A request as it was sent.
 #[derive(Clone, Debug)]
 pub struct Sent {
-    pub reference: String,
-    pub operation: String,
     pub since_ms: u64,
     pub cancelled_ms: Option<u64>,
 }
@@ -31,7 +28,6 @@
     sent: HashMap<u64, Sent>,
     answers: HashMap<u64, Vec<Answer>>,
     ended_ms: Option<u64>,
-    enough: bool,
 }
 
 pub struct Connection {
@@ -60,8 +56,7 @@
     pub fn call(&mut self, operation: &str, reference: &str, fields: &str, body: &str) -> u64 {
         self.next_tag += 1;
         let (tag, since_ms) = (self.next_tag, unix_ms());
-        let sent =
-            Sent { reference: reference.into(), operation: operation.into(), since_ms, cancelled_ms: None };
+        let sent = Sent { since_ms, cancelled_ms: None };
         self.shared.lock().expect("no thread panics").sent.insert(tag, sent);
         let fields = format!("ref={reference},since={since_ms},sender=1,room=30.0,class_rank=0.5000{fields}");
         self.record.write(&format!("sent tag={tag} {operation} {fields} body={body:?}"));
@@ -107,22 +102,9 @@
         sent
     }
 
-    /// Returns the number of calls that are neither answered nor cancelled.
-    pub fn open_calls(&self) -> usize {
-        let shared = self.shared.lock().expect("no thread panics");
-        let is_open =
-            |(tag, sent): &(&u64, &Sent)| sent.cancelled_ms.is_none() && !shared.answers.contains_key(*tag);
-        shared.sent.iter().filter(is_open).count()
-    }
-
     pub fn ended_ms(&self) -> Option<u64> {
         self.shared.lock().expect("no thread panics").ended_ms
     }
-
-    /// Returns whether the server has asked for no more calls on this connection.
-    pub fn has_enough(&self) -> bool {
-        self.shared.lock().expect("no thread panics").enough
-    }
 }
 
 impl Drop for Connection {
@@ -146,11 +128,10 @@
             };
             let tag: u64 = word(0).parse().unwrap_or(0);
             if tag == 0 {
-                shared.lock().expect("no thread panics").enough = true;
                 record.write(&format!("answered {}", word(1)));
                 continue;
             }
-            let answer = Answer { at_ms: unix_ms(), word: word(1), body: word(3) };
+            let answer = Answer { at_ms: unix_ms(), word: word(1) };
             if word(1) != "fit" && word(1) != "unfit" {
                 record.write(&format!("answered tag={tag} {} fields={:?} body={:?}", word(1), word(2), word(3)));
             }
--- a/review/stand-ins/src/processes.rs
+++ b/review/stand-ins/src/processes.rs
@@ -9,8 +9,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
+const SIGKILL: i32 = 9;
 
 /// Ids of all processes that this test has started and not yet waited for.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
