--- a/review/stand-ins-2/standins.py
+++ b/review/stand-ins-2/standins.py
@@ -67,7 +67,7 @@
         self.token_results = collections.defaultdict(set)
         self.broken, self.log, self.counts = [], [], collections.Counter()
         self.began = time.time()
-        self.process = None
+        self.process = self.options = None
         self.folder = tempfile.mkdtemp(prefix="review-")
 
     def note(self, text):
@@ -97,7 +97,8 @@
         environment = dict(os.environ, ROUTER_NAME=self.name, ROUTER_LISTEN=address(self.listen), ROUTER_CONFIG=path,
                            TMPDIR=self.folder)
         log = open(os.path.join(self.folder, "log"), "wb")
-        self.process = subprocess.Popen(["/bin/sh", "-c", run_command()], cwd=ROOT, env=environment, stdout=log, stderr=log)
+        command = run_command() + (f" --options {self.options}" if self.options else "")
+        self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdout=log, stderr=log)
         self.interpreter.started = time.time()
         for _ in range(200):
             try:
@@ -121,7 +122,7 @@
             "directory": address(self.catalog.getsockname()), "seed": f"{self.rng.getrandbits(64):016x}",
             "stop_ms": self.stop_ms, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "settings": {
-                "grades": operations, "peers-total": 3, "tier": 0,
+                "grades": operations, "peers-total": 4, "tier": 0,
                 "family-info": {"below": self.below, "cores": self.cores, "memory-kb": 22548, "run-factor": 16, "entry-kb": 7,
                                 "class-calls": [o.calls > 0 for o in self.operations], "preemption": "discard",
                                 "say": "weight", "idle": 15000000, "callers": 3,
@@ -494,9 +495,9 @@
 
 
 async def lose_links(world, over):
-    """The link to the interpreter is reset about every other second."""
+    """The link to the interpreter is reset about once a second."""
     while not over():
-        await asyncio.sleep(world.rng.uniform(1.0, 3.0))
+        await asyncio.sleep(world.rng.uniform(0.5, 1.5))
         world.note("the link is reset")
         world.link.drop()
 
