--- a/review/stand-ins-2/fleet.py
+++ b/review/stand-ins-2/fleet.py
@@ -53,9 +53,13 @@
 class Fleet:
     """A folder for each member with its options, and the processes."""
 
-    def __init__(self, seed, controls):
+    def __init__(self, seed, seeds, body=None, attributes=""):
+        """`seeds` are the members that the others ask first. `body` is what the options of all members hold beside
+        <membership>; if it is None, the seeds are the control machines of a replicated configuration."""
         self.folder = tempfile.mkdtemp(prefix="review-")
-        self.relay, self.controls = DatagramRelay(seed), controls
+        self.relay, self.controls, self.attributes = DatagramRelay(seed), seeds, attributes
+        replicas = "".join(f'<replica name="{c}"/>' for c in seeds)
+        self.body = body or f'<replication region="west" zone="west-1" file="state">{replicas}</replication>'
         self.processes, self.log, self.began = {}, [], time.time()
 
     def note(self, text):
@@ -71,12 +75,11 @@
             file.write("a key of the review's fleet" * 2)
         seeds = "".join(f'<seed address="{standins.address(self.relay.endpoints[c].getsockname())}"/>'
                         for c in self.controls if c != name and c in self.relay.endpoints)
-        replicas = "".join(f'<replica name="{c}"/>' for c in self.controls)
         path = os.path.join(folder, "options.xml")
         with open(path, "w") as file:
             file.write(f'''<meadowstream xmlns="urn:meadowstream:options:1">
-  <membership bind="{standins.address(bound)}" advertise="{standins.address(endpoint)}" name="{name}" fleet="review" key-file="key">{seeds}</membership>
-  <replication region="west" zone="west-1" file="state">{replicas}</replication>{more}
+  <membership bind="{standins.address(bound)}" advertise="{standins.address(endpoint)}" name="{name}" fleet="review" key-file="key" {self.attributes}>{seeds}</membership>
+  {self.body}{more}
 </meadowstream>''')
         return path
 
--- a/review/stand-ins-2/standins.py
+++ b/review/stand-ins-2/standins.py
@@ -78,7 +78,7 @@
         self.note(f"RULE BROKEN ({rule}): {text}")
 
     async def start(self):
-        """Starts the stand-ins and the server, and waits until it is fit and has its link."""
+        """Starts the stand-ins and the server."""
         self.interpreter = Interpreter(self)
         server = await asyncio.start_server(self.interpreter.serve, "127.0.0.1", 0, limit=1 << 20)
         self.link = await Relay(server.sockets[0].getsockname()).start()
@@ -91,12 +91,16 @@
         free.bind(("127.0.0.1", 0))
         self.listen = free.getsockname()
         free.close()
+        await self.spawn()
+
+    async def spawn(self):
+        """Starts the server, also once more after its end, and waits until it is fit and has its link."""
         path = os.path.join(self.folder, "config.json")
         with open(path, "w") as file:
             json.dump(self.config(), file)
         environment = dict(os.environ, ROUTER_NAME=self.name, ROUTER_LISTEN=address(self.listen), ROUTER_CONFIG=path,
                            TMPDIR=self.folder)
-        log = open(os.path.join(self.folder, "log"), "wb")
+        log = open(os.path.join(self.folder, "log"), "ab")
         command = run_command() + (f" --options {self.options}" if self.options else "")
         self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdout=log, stderr=log)
         self.interpreter.started = time.time()
@@ -134,6 +138,12 @@
             config["records"] = address(self.records_server.sockets[0].getsockname())
         return config
 
+    def kill(self):
+        """The machine dies: server and interpreter are gone, and all they held."""
+        self.process.kill()
+        self.process.wait()
+        self.interpreter.forget()
+
     def stop(self):
         if self.process and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
@@ -241,6 +251,13 @@
         self.notices = collections.deque(maxlen=4000)
         self.writer, self.started, self.tick_ends = None, time.time(), 0.0
 
+    def forget(self):
+        for run in self.runs.values():
+            run.timer.cancel()
+        abort(self.writer)
+        self.runs, self.index, self.writer = {}, 0, None
+        self.notices.clear()
+
     def send(self, message):
         if self.writer and not self.writer.is_closing():
             self.writer.write((json.dumps(message) + "\n").encode())
