A run that must not run twice is not sent again after a lost link

Cause: after a new link each APPLY without a notice was sent again, whatever its effect. "No notice has come" was taken for "was not received". A run that ends between the answer for gauges and the second APPLY is begun once more.

Evidence: the record of the case has APPLY, reset, VALUE ok, APPLY of the same id 0.1 ms later, then a second VALUE.

Change: the delivery of a command has three states after a lost link. Received: a notice, or an answer for gauges asked for behind it on the same link. Never written: bytes written are counted for each link. Unknown: an idempotent APPLY is sent again; any other is not, the controller is told (on_run_unconfirmed), the notice is awaited, and without one the answer is errored when due and the key stays used. A run that is told to stop is over once a later answer for gauges shows that the BREAK came, so that no lost run stays in the table or in the count. Counters receipts_unknown, runs_given_up.

Why this works: of the commands of a run that may not run twice at most one copy can have reached the interpreter. was_resent is gone for the same reason: what the one copy hears is conclusive.

token_of_what_never_ran expected the second APPLY of a keyed invocation over a new link, which is the fault itself. It now expects that none comes, an errored answer at the due time and the key kept, as before.

The control period's question confirms commands; one behind each command was weighed and left out, since unknown receipts cost only runs that were really lost, and a gauge that covers the time since the last question, as that of our double does, would cover less of the control period.

--- a/crates/cli/tests/scenario_harness/mod.rs
+++ b/crates/cli/tests/scenario_harness/mod.rs
@@ -266,7 +266,7 @@
         panic!("{name} stays below {least}: {:?}", self.log_lines);
     }
 
-    fn counter(&mut self, name: &str) -> u64 {
+    pub fn counter(&mut self, name: &str) -> u64 {
         self.log_lines.clear();
         self.signal("USR1");
         let line = self.wait_for_log_line("counters:");
--- a/crates/cli/tests/server.rs
+++ b/crates/cli/tests/server.rs
@@ -68,6 +68,9 @@
 #[test_case("descriptors_gone_discovery_down")]
 #[test_case("signals_cross")]
 #[test_case("call_as_idle_ends")]
+#[test_case("link_lost_as_a_keyed_run_ends")]
+#[test_case("link_lost_as_a_run_ends")]
+#[test_case("link_lost_with_a_run")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
@@ -114,3 +117,101 @@
     println!("ready after {times:?}");
     assert!(times[17] <= Duration::from_secs(10), "ready after {times:?}");
 }
+
+/// A way in which a run is lost with its link, so that the interpreter never reports the run.
+struct LostRun {
+    /// Number of links that are lost, each with one run.
+    links: usize,
+    /// Steps before the start of the server.
+    setup: &'static [&'static str],
+    /// Steps that lose one run. `%` stands for the tag of its call.
+    steps: &'static [&'static str],
+    /// Counter of the runs that have ended in this way.
+    ended: &'static str,
+}
+
+const LOST_RUNS: [LostRun; 3] = [
+    LostRun {
+        links: 45,
+        setup: &["config settings/grades/1/effect \"once\""],
+        steps: &[
+            "call A % store x",
+            "told APPLY % x",
+            "unlink",
+            "link 0",
+            "banner warm",
+            "hears A % broken",
+            "told BREAK %",
+        ],
+        ended: "runs_given_up",
+    },
+    LostRun {
+        links: 45,
+        setup: &[
+            "options <tokens field=\"token\"/>",
+            "config settings/grades/1/effect \"by_key\"",
+            "config settings/grades/1/window 8000000",
+        ],
+        steps: &[
+            "call A % store x other=1,ref=0000abc000000%,since=NOW,sender=4,room=2.5,token=t%",
+            "any-told APPLY",
+            "unlink",
+            "link 0",
+            "banner warm",
+            "hears A % broken",
+            "any-told BREAK",
+        ],
+        ended: "runs_given_up",
+    },
+    // An idempotent run is started again. This time, too, nothing is reported. The next gauge response shows that
+    // the run is over.
+    LostRun {
+        links: 10,
+        setup: &[],
+        steps: &[
+            "call A % store x",
+            "told APPLY % x",
+            "unlink",
+            "link 0",
+            "banner warm",
+            "told APPLY % x",
+            "hears A % refused",
+            "told BREAK %",
+            "waits 600",
+        ],
+        ended: "runs_ended",
+    },
+];
+
+/// Runs that were lost with a hundred links must not be counted as running for ever. Otherwise fewer and fewer
+/// invocations could run.
+#[test]
+fn runs_lost_with_a_hundred_links_leave_nothing_behind() {
+    let lose_runs = |(i, lost): (usize, LostRun)| {
+        let mut harness = ScenarioHarness::new(&format!("lost_runs_{i}"));
+        let mut run = |steps: &[&str]| steps.iter().for_each(|step| harness.step(step));
+        run(&["config settings/grades/1/target 150000", "config settings/grades/1/give-up 200000"]);
+        run(&["config settings/family-info/cores 8"]);
+        run(lost.setup);
+        run(&["start", "link 0", "banner warm", "open A"]);
+        for tag in 101..101 + lost.links {
+            lost.steps.iter().for_each(|step| run(&[&step.replace('%', &tag.to_string())]));
+        }
+        run(&[&format!("counts {} {}", lost.ended, lost.links)]);
+        // All cores are free for other runs.
+        for tag in 1..=8 {
+            run(&[&format!("call A {tag} load x"), &format!("told APPLY {tag} x")]);
+        }
+        for tag in 1..=8 {
+            run(&[&format!("ok {tag} {tag} y"), &format!("hears A {tag} good y")]);
+        }
+        assert_eq!(harness.counter("runs_sent") as usize, lost.links + 8);
+        assert_eq!(
+            harness.counter("runs_ended") + harness.counter("runs_given_up"),
+            harness.counter("runs_sent")
+        );
+    };
+    let losses: Vec<_> =
+        LOST_RUNS.into_iter().enumerate().map(|case| std::thread::spawn(move || lose_runs(case))).collect();
+    losses.into_iter().for_each(|thread| thread.join().expect("nothing is left behind"));
+}
--- a/crates/overload-control/src/controller/conditions.rs
+++ b/crates/overload-control/src/controller/conditions.rs
@@ -8,15 +8,44 @@
 use crate::scheduling::RunLimits;
 use crate::{Effect, Nanos};
 
+/// Time after which an unconfirmed run counts as lost, as a multiple of the usual time of its operation's
+/// runs.
+const PRESUMED_LOST_RATIO: f64 = 2.0;
+
 impl Controller {
+    /// Number of runs on the cores. Unconfirmed runs are included as long as they are expected to end.
     pub(super) fn running(&self) -> f64 {
-        self.invocations.count(&[InvocationState::Running])
+        self.invocations.count(&[InvocationState::Running]) + self.unconfirmed_runs_on_cores()
+    }
+
+    /// Number of unconfirmed runs that are probably on the cores.
+    fn unconfirmed_runs_on_cores(&self) -> f64 {
+        if self.invocations.count(&[InvocationState::Unconfirmed]) == 0.0 {
+            return 0.0;
+        }
+        let unconfirmed = self
+            .invocations
+            .active()
+            .filter(|(_, invocation)| invocation.state() == InvocationState::Unconfirmed);
+        unconfirmed.filter(|(_, invocation)| self.now < self.presumed_lost_at(invocation)).count() as f64
+    }
+
+    /// Time after which an unconfirmed run has probably been lost: a run that exists would have ended, or
+    /// would have reached its downstream call.
+    pub(super) fn presumed_lost_at(&self, invocation: &Invocation) -> Nanos {
+        let usual_ns = self.times.usual()[invocation.operation].elapsed_ns * invocation.cost_ratio;
+        invocation.state_since + (usual_ns * PRESUMED_LOST_RATIO) as Nanos
     }
 
     /// Number of open runs. An open run is on a core, waits to make a downstream call, or has a downstream
-    /// call in progress.
+    /// call in progress. Unconfirmed runs are included, because any of them may be open.
     pub(super) fn open_runs(&self) -> f64 {
-        let states = [InvocationState::Running, InvocationState::AwaitingCall, InvocationState::Calling];
+        let states = [
+            InvocationState::Running,
+            InvocationState::Unconfirmed,
+            InvocationState::AwaitingCall,
+            InvocationState::Calling,
+        ];
         self.invocations.count(&states)
     }
 
--- a/crates/overload-control/src/controller/events.rs
+++ b/crates/overload-control/src/controller/events.rs
@@ -56,6 +56,10 @@
         }
         self.enter(key, InvocationState::Pending);
         self.invocations[key].stopping = false;
+        if state == InvocationState::Unconfirmed && outcome == Outcome::Cancelled {
+            // The run was lost. The time spent waiting for news of it is no core time.
+            self.invocations[key].core_time = 0;
+        }
         let invocation = &self.invocations[key];
         let has_ended = matches!(outcome, Outcome::Succeeded | Outcome::Failed);
         if has_ended && state != InvocationState::Replaying {
@@ -74,6 +78,18 @@
         }
     }
 
+    /// Handles the loss of a command that may have been the one which started or resumed a run. The host keeps
+    /// waiting for news of the run. Until news arrives, the run does not make the server appear stalled.
+    pub fn on_run_unconfirmed(&mut self, now: Nanos, id: u64, host: &mut dyn Host) {
+        self.advance(now);
+        if let Some(key) = self.invocations.find(id)
+            && self.invocations[key].state() == InvocationState::Running
+        {
+            self.enter(key, InvocationState::Unconfirmed);
+        }
+        self.apply_rules(host);
+    }
+
     /// Handles a run that needs to make its downstream call and waits until the controller permits the call.
     pub fn on_call_needed(&mut self, now: Nanos, id: u64, host: &mut dyn Host) {
         self.advance(now);
--- a/crates/overload-control/src/controller/rules.rs
+++ b/crates/overload-control/src/controller/rules.rs
@@ -204,15 +204,18 @@
     }
 
     /// Rule: sets the deadline timer to the next time at which the rules must be applied. This time is the
-    /// earliest of the next deadline, the end of a backoff, and the time at which the call budget suffices
-    /// for a waiting call.
+    /// earliest of the next deadline, the end of a backoff, the time at which an unconfirmed run counts as
+    /// lost, and the time at which the call budget suffices for a waiting call.
     pub(super) fn set_deadline_timer(&mut self, host: &mut dyn Host) -> Option<()> {
         let unanswered = self.invocations.active().filter(|(_, invocation)| !invocation.answered);
         let active = unanswered.map(|(_, invocation)| {
-            let backs_off =
-                invocation.state() == InvocationState::AwaitingCall && invocation.retry_call_at > self.now;
-            let retry_call_at = if backs_off { invocation.retry_call_at } else { Nanos::MAX };
-            self.wait_until(invocation).min(retry_call_at)
+            let state_ends_at = match invocation.state() {
+                InvocationState::AwaitingCall => invocation.retry_call_at,
+                InvocationState::Unconfirmed => self.presumed_lost_at(invocation),
+                _ => self.now,
+            };
+            let state_ends_at = if state_ends_at > self.now { state_ends_at } else { Nanos::MAX };
+            self.wait_until(invocation).min(state_ends_at)
         });
         let awaits_budget = self.open_calls().awaiting > 0.0;
         let budget = if awaits_budget { self.calls.enough_budget_at(self.now) } else { None };
@@ -224,8 +227,11 @@
 
     pub(super) fn enter(&mut self, key: usize, state: InvocationState) {
         let invocation = &mut self.invocations[key];
-        if invocation.state() == InvocationState::Running {
+        let previous = invocation.state();
+        if matches!(previous, InvocationState::Running | InvocationState::Unconfirmed) {
             invocation.core_time += self.now - invocation.state_since;
+        }
+        if previous == InvocationState::Running && state != InvocationState::Unconfirmed {
             self.health.observe_progress(self.now);
         }
         self.invocations.enter(key, state, self.now);
@@ -289,13 +295,18 @@
     }
 
     /// Marks an invocation as answered and removes it. If its run or downstream call is in progress, the
-    /// invocation is kept until the run or call ends.
+    /// invocation is kept until the run or call ends. An unconfirmed run is not kept, because news of it may
+    /// never come; the host stops it.
     pub(super) fn close(&mut self, key: usize, host: &mut dyn Host) {
         let effect = self.effect(&self.invocations[key]);
         self.keys.forget_unless_run(&self.invocations[key], effect, host);
         let invocation = &mut self.invocations[key];
         (invocation.answered, invocation.stopping) = (true, false);
-        if matches!(invocation.state(), InvocationState::Pending | InvocationState::Replaying) {
+        let has_no_end = matches!(
+            invocation.state(),
+            InvocationState::Pending | InvocationState::Replaying | InvocationState::Unconfirmed
+        );
+        if has_no_end {
             self.remove(key);
         }
     }
--- a/crates/overload-control/src/invocations.rs
+++ b/crates/overload-control/src/invocations.rs
@@ -19,6 +19,9 @@
     Pending,
     /// Running on the cores.
     Running,
+    /// The command that started or resumed the run may have been lost. The run may be on the cores, may wait
+    /// for a lost reply, or may not exist.
+    Unconfirmed,
     /// The run waits to make a downstream call.
     AwaitingCall,
     /// The run's downstream call is in progress.
@@ -28,7 +31,7 @@
     Replaying,
 }
 
-const STATES: usize = 5;
+const STATES: usize = 6;
 
 /// One request for an operation.
 #[derive(Clone, Debug, Default)]
--- a/crates/overload-control/tests/scenarios.rs
+++ b/crates/overload-control/tests/scenarios.rs
@@ -7,6 +7,7 @@
 //!   of downstream calls that the fleet's budget permits at once.
 //! - `wait MS` advances the time; `repeat N STEP` repeats one step, and `repeat N` ... `end` several.
 //! - Events: `arrive NAME=VALUE ...` (ids are assigned from 1), `finish ID|all|first [ok|error|cancelled]`,
+//!   `unconfirmed ID` (the command that started or resumed a run may have been lost),
 //!   `needs ID` (a run has reached its downstream call), `called ID ok|error|unknown|never_ran [MS]` (the
 //!   call has ended), `leave MS` (drain notice) and `gone ID` (the caller cancelled).
 //! - `expect WHAT [opN|ID] = | < | > NUMBER` compares the number of actions since the start or the last
@@ -289,6 +290,7 @@
                     controller.on_run_finished(now, id, outcome, &mut self.host);
                 }
             }
+            "unconfirmed" => controller.on_run_unconfirmed(now, id(), &mut self.host),
             "needs" => controller.on_call_needed(now, id(), &mut self.host),
             "called" => {
                 self.host.open_calls -= 1;
@@ -389,6 +391,7 @@
 #[test_case("idle_connections_of_many_callers_close")]
 #[test_case("cost_hint_lengthens_the_call_timeout")]
 #[test_case("draining_server_of_many_wants_no_arrivals")]
+#[test_case("unconfirmed_run_frees_its_core")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
--- a/crates/server/src/event.rs
+++ b/crates/server/src/event.rs
@@ -1,6 +1,7 @@
 //! Events that other tasks send to the event loop.
 
 use crate::connection::table::Connection;
+use crate::interpreter::commands::CommandSender;
 use crate::wire::interpreter::Notice;
 use async_channel::Sender;
 use meadowstream_fair_queueing::SettingsChange;
@@ -65,7 +66,7 @@
         /// numbers its notices from 1 again.
         restarted: bool,
         /// Queue of the commands that are to be sent over the link.
-        commands: Sender<Vec<u8>>,
+        commands: CommandSender,
     },
     /// The connection to the interpreter is lost.
     LinkLost,
--- a/crates/server/src/event_loop/actions.rs
+++ b/crates/server/src/event_loop/actions.rs
@@ -6,7 +6,7 @@
 use crate::event_loop::interpreter_session::InterpreterSession;
 use crate::event_loop::timers::{Timer, TimerQueue};
 use crate::resources::idempotency::IdempotencyTable;
-use crate::resources::invocations::{Invocations, SentCommand};
+use crate::resources::invocations::{Delivery, Invocations, RunCommand, SentCommand};
 use crate::server::Server;
 use crate::wire::interpreter;
 use crate::wire::resp::WORD_MAX;
@@ -102,36 +102,18 @@
         self.set_timer_after(GAUGES_TIMEOUT_NS, Timer::GaugesOverdue { nonce });
     }
 
-    /// Sends a command that starts or resumes the run of an invocation. The command is stored for resending
-    /// until a notice from the interpreter shows that the command was received.
-    pub fn send_for_run(&mut self, invocation: u64, line: Vec<u8>) {
-        let link = self.session.send(line.clone());
-        if let Some(invocation) = self.invocations.get(invocation) {
-            invocation.unconfirmed = Some(SentCommand { line, link });
+    /// Sends a command that starts or resumes the run of an invocation. The command is stored until the
+    /// interpreter is known to have received it.
+    pub fn send_for_run(&mut self, id: u64, command: RunCommand, line: Vec<u8>) {
+        let delivery = self.send(line.clone());
+        if let Some(invocation) = self.invocations.get(id) {
+            invocation.unconfirmed = Some(SentCommand { command, line, delivery });
         }
     }
 
-    /// Sends commands again if the interpreter has not confirmed their receipt. Applies to commands that were
-    /// last sent over an earlier link, or that could not be sent. These commands may have been lost. The
-    /// interpreter ignores a command that it has already received.
-    pub fn resend_unconfirmed(&mut self) {
-        let link = self.session.link();
-        let mut lines = Vec::new();
-        for invocation in self.invocations.iter_mut().filter(|invocation| invocation.is_running) {
-            if let Some(sent) = invocation.unconfirmed.as_mut().filter(|sent| sent.link < link) {
-                sent.link = link;
-                lines.push(sent.line.clone());
-                invocation.was_resent = true;
-            }
-            if let Some(last_link) = invocation.stop_link.as_mut().filter(|last_link| **last_link < link) {
-                *last_link = link;
-                lines.push(interpreter::stop(invocation.reference));
-            }
-        }
-        for line in lines {
-            self.server.counters.commands_sent_again.add();
-            self.session.send(line);
-        }
+    /// Sends a command to the interpreter. Returns how far the command has come.
+    pub fn send(&mut self, line: Vec<u8>) -> Delivery {
+        self.session.send(line).map_or(Delivery::NotReceived, Delivery::Sent)
     }
 
     /// Sends the final answer of an invocation to its caller. Does nothing if the invocation was already
@@ -160,6 +142,7 @@
         }
         self.abandon_call(id);
         self.stop_run_awaiting_call(id);
+        self.end_lost_run(id);
         self.invocations.release(id);
     }
 
@@ -185,13 +168,19 @@
         };
         let line = interpreter::stop(invocation.reference);
         self.server.counters.stops_sent.add();
-        invocation.stop_link = Some(self.session.send(line));
+        let delivery = self.send(line);
+        if let Some(invocation) = self.invocations.get(id) {
+            invocation.stop = Some(delivery);
+        }
     }
 
     /// Handles the end of a run. Answers the caller of the invocation, and all repeated calls that wait for
     /// the outcome of this run.
     pub fn run_ended(&mut self, id: u64, outcome: Outcome, result: Vec<u8>) {
         self.server.counters.runs_ended.add();
+        if let Some(invocation) = self.invocations.get(id) {
+            invocation.may_be_lost = false;
+        }
         self.abandon_call(id);
         let result = Some(result).filter(|result| outcome == Outcome::Succeeded && result.len() <= WORD_MAX);
         for repeat in self.idempotency.run_ended(id, result.as_deref()) {
@@ -205,7 +194,7 @@
         if let Some(invocation) = self.invocations.get(id) {
             invocation.is_running = false;
             invocation.unconfirmed = None;
-            invocation.stop_link = None;
+            invocation.stop = None;
         }
     }
 
@@ -225,17 +214,6 @@
         }
     }
 
-    /// Removes the idempotency key of an invocation that never ran. Without the removal, a call forged by a
-    /// peer could block the key for the genuine call.
-    ///
-    /// The key is not removed if a command for the run was sent again over a new link to the interpreter. The
-    /// earlier copy of the command may have started the run.
-    pub fn forget_unless_resent(&mut self, id: u64) {
-        if self.invocations.get(id).is_some_and(|invocation| !invocation.was_resent) {
-            self.forget(id);
-        }
-    }
-
     /// Returns whether an operation is idempotent, not idempotent, or idempotent with a key.
     pub fn effect(&self, operation: usize) -> Effect {
         self.server.configuration.settings.deployment.operations[operation].effect
--- a/crates/server/src/event_loop/downstream.rs
+++ b/crates/server/src/event_loop/downstream.rs
@@ -5,7 +5,7 @@
 use crate::event_loop::actions::ActionExecutor;
 use crate::fleet::shared_state::StartedCall;
 use crate::fleet::tier::CallEvidence;
-use crate::resources::invocations::RunningCall;
+use crate::resources::invocations::{RunCommand, RunningCall};
 use crate::wire::interpreter;
 use meadowstream_overload_control::{Effect, Nanos, Outcome};
 use meadowstream_routing::CallPreference;
@@ -60,7 +60,7 @@
         let Some(reply) = reply else { return self.fail_as_unsupported(id, "skipping a downstream call") };
         if let Some(line) = self.resume_line(id, reply.as_bytes()) {
             self.server.counters.calls_left_out.add();
-            self.send_for_run(id, line);
+            self.send_for_run(id, RunCommand::Resume, line);
         }
     }
 
@@ -76,7 +76,7 @@
             && let Some(line) = self.resume_line(id, reply)
         {
             self.server.counters.replies_sent.add();
-            self.send_for_run(id, line);
+            self.send_for_run(id, RunCommand::Resume, line);
         }
         true
     }
--- a/crates/server/src/event_loop/host.rs
+++ b/crates/server/src/event_loop/host.rs
@@ -4,6 +4,7 @@
 use crate::event_loop::actions::{ActionExecutor, PromisedAdmission};
 use crate::event_loop::timers::Timer;
 use crate::resources::idempotency::Replay;
+use crate::resources::invocations::RunCommand;
 use crate::wire::interpreter;
 use crate::wire::rpc::Answer;
 use meadowstream_overload_control::{Host, Nanos};
@@ -16,7 +17,7 @@
         let operation = &self.server.configuration.settings.operation_names[invocation.operation];
         let line = interpreter::apply(invocation.reference, operation, &invocation.body);
         self.server.counters.runs_sent.add();
-        self.send_for_run(id, line);
+        self.send_for_run(id, RunCommand::Start, line);
     }
 
     fn stop_run(&mut self, id: u64) {
--- a/crates/server/src/event_loop/mod.rs
+++ b/crates/server/src/event_loop/mod.rs
@@ -6,16 +6,19 @@
 mod arrivals;
 mod downstream;
 mod host;
-mod interpreter_session;
+pub mod interpreter_session;
+mod link_recovery;
 mod timers;
 
 use crate::event::{Event, Request};
 use crate::event_loop::actions::{ActionExecutor, Replayed};
+use crate::event_loop::link_recovery::RecoveredRun;
 use crate::event_loop::timers::Timer;
+use crate::interpreter::commands::CommandSender;
 use crate::lifecycle::pause::Stopwatch;
 use crate::server::Server;
 use crate::wire::interpreter::Notice;
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use futures_lite::future;
 use meadowstream_fair_queueing::{SettingsChange, TopTenant};
 use meadowstream_overload_control::controller::{CONTROL_TIMER, Controller};
@@ -122,7 +125,7 @@
                 }
                 self.handle_link(cold, age, commands);
             }
-            Event::LinkLost => self.actions.session.clear_link(),
+            Event::LinkLost => self.actions.link_lost(),
             Event::Notice(notice) => self.handle_notice(notice),
             Event::CallEnded { invocation, number, outcome, reply, duration } => {
                 if self.actions.call_ended(invocation, number, outcome, &reply) {
@@ -199,9 +202,9 @@
         }
     }
 
-    fn handle_link(&mut self, cold: bool, age: Nanos, commands: Sender<Vec<u8>>) {
+    fn handle_link(&mut self, cold: bool, age: Nanos, commands: CommandSender) {
         self.actions.session.set_link(commands);
-        let links = self.actions.session.link();
+        let links = self.actions.session.links();
         info!(cold, age_ms = age / 1_000_000, links, "linked to the interpreter");
         if self.controller.is_some() {
             self.actions.session.send_replay_fence();
@@ -255,13 +258,18 @@
         invocation.call_body = body;
         invocation.awaits_call = true;
         invocation.unconfirmed = None;
+        invocation.may_be_lost = false;
         self.actions.server.counters.awaits.add();
         self.with_controller(|controller, now, actions| controller.on_call_needed(now, id, actions));
     }
 
     fn handle_gauges(&mut self, nonce: u64, readings: &[f64]) {
+        self.actions.session.record_receipt(nonce);
+        for id in self.actions.stopped_runs() {
+            self.handle_run_end(id, Outcome::Cancelled, Vec::new());
+        }
         if self.actions.session.end_replay(nonce) {
-            self.actions.resend_unconfirmed();
+            self.recover_runs();
         } else if let Some(timer) = self.actions.session.end_gauges_request(nonce) {
             let settings = &self.actions.server.configuration.settings;
             let reading = |index: Option<usize>| index.and_then(|index| readings.get(index).copied());
@@ -271,6 +279,19 @@
         }
     }
 
+    fn recover_runs(&mut self) {
+        for run in self.actions.recover_runs() {
+            match run {
+                RecoveredRun::Ended(id) => self.handle_run_end(id, Outcome::Cancelled, Vec::new()),
+                RecoveredRun::Unconfirmed(id) => {
+                    self.with_controller(|controller, now, actions| {
+                        controller.on_run_unconfirmed(now, id, actions);
+                    });
+                }
+            }
+        }
+    }
+
     fn handle_command_failed(&mut self, command: &str, task: Option<u64>) {
         self.actions.server.counters.commands_not_done.add();
         debug!(
@@ -291,7 +312,7 @@
     /// this notification, a call forged by a peer would count as evidence that runs fail on this server.
     fn handle_run_end(&mut self, id: u64, outcome: Outcome, result: Vec<u8>) {
         if outcome == Outcome::NeverRan {
-            self.actions.forget_unless_resent(id);
+            self.actions.forget(id);
         }
         self.actions.run_ended(id, outcome, result);
         if outcome == Outcome::NeverRan {
--- a/crates/server/src/interpreter/link.rs
+++ b/crates/server/src/interpreter/link.rs
@@ -1,6 +1,8 @@
 //! The link, a TCP connection to the interpreter. If the link is lost, a new link is established.
 
 use crate::event::Event;
+use crate::interpreter::commands;
+use crate::interpreter::commands::CommandSender;
 use crate::interpreter::incarnation::Incarnation;
 use crate::interpreter::reader::NoticeReader;
 use crate::server::Server;
@@ -8,7 +10,6 @@
 use crate::wire::interpreter;
 use crate::wire::interpreter::Notice;
 use crate::wire::ring::Ring;
-use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, future};
 use meadowstream_overload_control::Nanos;
@@ -22,9 +23,6 @@
 /// Maximum number of commands that wait to be sent to the interpreter. If the queue overflows because the
 /// interpreter does not read, the link is closed and a new link is established.
 const COMMANDS_MAX: usize = 4096;
-/// Size, in bytes, at which a write to the link is full. Queued commands are added to one write until the
-/// write has at least this size.
-const WRITE_MAX_BYTES: usize = 64 * 1024;
 /// Delay before the server establishes a new link to the interpreter after a link was lost. Each failed
 /// attempt doubles the delay, up to [`BACKOFF_MAX`].
 const BACKOFF: Duration = Duration::from_millis(5);
@@ -102,22 +100,23 @@
     stream.get_ref().set_nodelay(true)?;
     let requested = server.clock.now();
     (&stream).write_all(&interpreter::connect(incarnation.last_read)).await?;
-    let (commands, queue) = async_channel::bounded(COMMANDS_MAX);
-    let link = Link { server, stream: &stream, commands, requested };
-    future::or(link.read(incarnation, linked), write(&stream, &queue)).await
+    let (commands, queue) = commands::queue(COMMANDS_MAX);
+    let mut link = Link { server, stream: &stream, commands: Some(commands), requested };
+    future::or(link.read(incarnation, linked), queue.write_to(&stream)).await
 }
 
 /// A TCP connection to the interpreter. The link is established once the interpreter's banner is received.
 struct Link<'a> {
     server: &'a Server,
     stream: &'a Async<TcpStream>,
-    commands: Sender<Vec<u8>>,
+    /// Queue of the commands for this link. Taken by the event loop when the banner arrives.
+    commands: Option<CommandSender>,
     /// Time at which the server requested the banner from the interpreter.
     requested: Nanos,
 }
 
 impl Link<'_> {
-    async fn read(&self, incarnation: &mut Incarnation, linked: &mut bool) -> Result<()> {
+    async fn read(&mut self, incarnation: &mut Incarnation, linked: &mut bool) -> Result<()> {
         let mut ring = Ring::new(2 * interpreter::LINE_MAX);
         let mut reader = NoticeReader::default();
         let counters = &self.server.counters;
@@ -138,28 +137,16 @@
         }
     }
 
-    fn event(&self, notice: Notice, incarnation: &mut Incarnation, linked: &mut bool) -> Event {
+    /// Returns the event for a notice. Only the first banner of a link establishes the link.
+    fn event(&mut self, notice: Notice, incarnation: &mut Incarnation, linked: &mut bool) -> Event {
         let Notice::Banner { cold, age } = notice else { return Event::Notice(notice) };
+        let Some(commands) = self.commands.take() else { return Event::Notice(notice) };
         *linked = true;
         self.server.counters.links.add();
         let restarted = incarnation.detect_restart(self.requested, self.server.clock.now(), age);
-        Event::Linked { cold, age, restarted, commands: self.commands.clone() }
+        Event::Linked { cold, age, restarted, commands }
     }
 }
 
-/// Writes the queued commands to the link. Commands that are in the queue at the same time are combined into
-/// one write.
-async fn write(mut stream: &Async<TcpStream>, queue: &Receiver<Vec<u8>>) -> Result<()> {
-    while let Ok(mut batch) = queue.recv().await {
-        while batch.len() < WRITE_MAX_BYTES
-            && let Ok(line) = queue.try_recv()
-        {
-            batch.extend(line);
-        }
-        stream.write_all(&batch).await?;
-    }
-    Ok(())
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/server/src/interpreter/link/tests.rs
+++ b/crates/server/src/interpreter/link/tests.rs
@@ -16,18 +16,24 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     let stream = Async::<TcpStream>::new(listener.accept().unwrap().0).unwrap();
-    let (commands, queue) = async_channel::bounded(COMMANDS_MAX);
+    let (mut commands, queue) = commands::queue(COMMANDS_MAX);
     let lines: Vec<Vec<u8>> = (0..20).map(|task| resolve(task, &[b'x'; REPLY_BYTES])).collect();
     for line in &lines {
-        commands.try_send(line.clone()).unwrap();
+        commands.send(line.clone()).unwrap();
     }
-    commands.close();
     let read = std::thread::spawn(move || {
         let mut bytes = Vec::new();
         peer.read_to_end(&mut bytes).unwrap();
         bytes
     });
-    futures_lite::future::block_on(write(&stream, &queue)).unwrap();
+    let length: u64 = lines.iter().map(|line| line.len() as u64).sum();
+    let all_written = async {
+        while commands.written_bytes() < length {
+            future::yield_now().await;
+        }
+        Ok(())
+    };
+    future::block_on(future::or(queue.write_to(&stream), all_written)).unwrap();
     drop(stream);
     assert!(read.join().unwrap() == lines.concat(), "not all commands were written");
 }
--- a/crates/server/src/resources/invocations.rs
+++ b/crates/server/src/resources/invocations.rs
@@ -3,6 +3,7 @@
 
 use crate::connection::table::Connection;
 use crate::event::Request;
+use crate::event_loop::interpreter_session::{CommandPosition, LostLink, Receipt};
 use async_executor::Task;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -30,15 +31,17 @@
     pub is_answered: bool,
     /// True from the start of the run until the interpreter reports that the run has ended.
     pub is_running: bool,
-    /// Last command that started or resumed the run. `None` once a notice has shown that the interpreter
-    /// received the command.
+    /// Last command that started or resumed the run. `None` once the interpreter is known to have received
+    /// the command, and while `may_be_lost` is true.
+    ///
+    /// Invariant: of the commands for a run that is not idempotent, at most one copy each can have reached
+    /// the interpreter.
     pub unconfirmed: Option<SentCommand>,
-    /// True if a command for this run was sent again over a new link to the interpreter. The first copy of
-    /// the command may have been lost with the earlier link.
-    pub was_resent: bool,
-    /// Number of the link over which the server last sent a command to stop the run. `None` if no such
-    /// command was sent.
-    pub stop_link: Option<u64>,
+    /// True if the last command that started or resumed the run may have been lost and is not sent again. No
+    /// notice of the run may ever come.
+    pub may_be_lost: bool,
+    /// Delivery of the command to stop the run. `None` if no such command was sent.
+    pub stop: Option<Delivery>,
     /// Body of the downstream call for which the run waits. Emptied when the run resumes.
     pub call_body: Vec<u8>,
     /// True while the run of the invocation waits for the reply to a downstream call.
@@ -64,8 +67,8 @@
             is_answered: false,
             is_running: false,
             unconfirmed: None,
-            was_resent: false,
-            stop_link: None,
+            may_be_lost: false,
+            stop: None,
             call_body: Vec::new(),
             awaits_call: false,
             call: None,
@@ -74,13 +77,58 @@
     }
 }
 
-/// A command for the interpreter, and the link over which the command was last sent.
+impl Invocation {
+    /// Updates the delivery of the invocation's commands after the link was lost.
+    pub fn on_link_lost(&mut self, lost: &LostLink) {
+        self.unconfirmed = self.unconfirmed.take().and_then(|sent| {
+            let delivery = sent.delivery.after_loss(lost)?;
+            Some(SentCommand { delivery, ..sent })
+        });
+        // A received command is also sent again: the end of the run may not have been read.
+        self.stop = self.stop.map(|stop| stop.after_loss(lost).unwrap_or(Delivery::Unknown));
+    }
+}
+
+/// How far a command has come on its way to the interpreter.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Delivery {
+    /// The command was sent at this place over the current link.
+    Sent(CommandPosition),
+    /// The interpreter cannot have received the command.
+    NotReceived,
+    /// The link was lost after the command was written. Whether the command was received is unknown.
+    Unknown,
+}
+
+impl Delivery {
+    /// Returns the delivery of a command after the link was lost. Returns `None` if the command was received.
+    fn after_loss(self, lost: &LostLink) -> Option<Self> {
+        let Self::Sent(position) = self else { return Some(self) };
+        match lost.receipt(position) {
+            Receipt::Received => None,
+            Receipt::NotReceived => Some(Self::NotReceived),
+            Receipt::Unknown => Some(Self::Unknown),
+        }
+    }
+}
+
+/// Effect of a command on a run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RunCommand {
+    /// The command starts the run.
+    Start,
+    /// The command resumes the run with the reply to its downstream call.
+    Resume,
+}
+
+/// A command for the interpreter that starts or resumes a run.
 pub struct SentCommand {
+    /// Effect of the command.
+    pub command: RunCommand,
     /// The encoded command.
     pub line: Vec<u8>,
-    /// Number of the link to the interpreter over which the command was last sent. The number is 0 if the
-    /// first attempt to send the command failed and no second attempt was made.
-    pub link: u64,
+    /// How far the command has come.
+    pub delivery: Delivery,
 }
 
 /// A downstream call in progress. The call is abandoned when this value is dropped.
@@ -129,6 +177,14 @@
         self.all.values_mut()
     }
 
+    /// Returns the ids of all running invocations whose command to stop the run satisfies `condition`.
+    pub fn stopping(&self, condition: impl Fn(Delivery) -> bool) -> Vec<u64> {
+        let is_stopping =
+            |invocation: &Invocation| invocation.is_running && invocation.stop.is_some_and(&condition);
+        let stopping = self.all.iter().filter(|(_, invocation)| is_stopping(invocation));
+        stopping.map(|(id, _)| *id).collect()
+    }
+
     /// Returns the ids of all invocations whose run has started and not ended.
     pub fn running(&self) -> Vec<u64> {
         let running = self.all.iter().filter(|(_, invocation)| invocation.is_running);
