A reply is not sent again where it could answer a run's next call

Cause: after a new link the last RESOLVE of a run without a later notice was sent again. RESOLVE names no call, so a run that had received the first copy and reached its next call took the second one for that call's reply.

Evidence: the record has RESOLVE, reset, the answer for gauges, AWAIT of the second call, RESOLVE 0.5 ms later. With the order forced, on: link_lost_before_the_next_call, link_lost_with_a_reply and link_lost_with_run_and_notice failed.

Change: where the receipt of a RESOLVE is unknown, it is not sent again and the run's notice is awaited. An idempotent run that is not heard of for twice its usual time is stopped and run anew once it is over (rule stop_lost_runs); any other is errored when its answer is due, and stopped. A RESOLVE of which not all was written is sent again, as before.

Why this works: no run can receive two copies of one reply, and a run that waits for a lost reply is ended by something that comes: the BREAK's notice, or an answer for gauges behind the BREAK.

reload and descriptors_gone_discovery_down waited for the second RESOLVE, which is the fault. In its place they ask that the next command on the new link is another one (RESOLVE of the next call; APPLY of another request).

--- a/crates/cli/tests/server.rs
+++ b/crates/cli/tests/server.rs
@@ -70,7 +70,10 @@
 #[test_case("call_as_idle_ends")]
 #[test_case("link_lost_as_a_keyed_run_ends")]
 #[test_case("link_lost_as_a_run_ends")]
+#[test_case("link_lost_before_the_next_call")]
 #[test_case("link_lost_with_a_run")]
+#[test_case("link_lost_with_a_reply")]
+#[test_case("link_lost_with_run_and_notice")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
--- a/crates/overload-control/src/controller.rs
+++ b/crates/overload-control/src/controller.rs
@@ -69,6 +69,7 @@
 const RULES: &[Rule] = &[
     Controller::answer_overdue,
     Controller::stop_abandoned_runs,
+    Controller::stop_lost_runs,
     Controller::reject_in_refusal_window,
     Controller::reject_beyond_memory,
     Controller::replay_results,
--- a/crates/overload-control/src/controller/rules.rs
+++ b/crates/overload-control/src/controller/rules.rs
@@ -41,6 +41,26 @@
         Some(())
     }
 
+    /// Rule: stops an unconfirmed run of an idempotent operation that has probably been lost, so that the
+    /// invocation can run again. Runs of other operations must not run again, and are waited for until their
+    /// answers are due.
+    pub(super) fn stop_lost_runs(&mut self, host: &mut dyn Host) -> Option<()> {
+        if self.deployment.preemption == Preemption::Unsupported
+            || self.invocations.count(&[InvocationState::Unconfirmed]) == 0.0
+        {
+            return None;
+        }
+        let key = self.invocations.first_active(|invocation| {
+            invocation.state() == InvocationState::Unconfirmed
+                && !invocation.stopping
+                && self.is_idempotent(invocation)
+                && self.now >= self.presumed_lost_at(invocation)
+        })?;
+        self.invocations[key].stopping = true;
+        host.stop_run(self.invocations[key].id);
+        Some(())
+    }
+
     /// Rule: rejects an arrival during the refusal window of its rank, which is the first part of each
     /// control period. Admission by refusal windows is taken from IAMS (Jiang, Meng, Ren and Zhan).
     /// Operations without downstream calls are exempt while downstream calls are saturated and the cores are
--- a/crates/overload-control/tests/scenarios.rs
+++ b/crates/overload-control/tests/scenarios.rs
@@ -392,6 +392,7 @@
 #[test_case("cost_hint_lengthens_the_call_timeout")]
 #[test_case("draining_server_of_many_wants_no_arrivals")]
 #[test_case("unconfirmed_run_frees_its_core")]
+#[test_case("unconfirmed_run_is_stopped_and_runs_again")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
--- a/crates/server/src/event_loop/link_recovery.rs
+++ b/crates/server/src/event_loop/link_recovery.rs
@@ -1,8 +1,9 @@
 //! Decides what becomes of runs whose commands may have been lost with a link to the interpreter.
 //!
 //! The protocol has no conditional command: a second command to start a run starts the run again if it has
-//! ended in the meantime. Such a command is therefore sent again only if the first copy cannot have been
-//! received, or if a second run is harmless. In all other cases the server waits for a notice of the run. If none comes, the caller receives an error when its
+//! ended in the meantime, and a second reply answers the run's next downstream call. A command is therefore
+//! sent again only if the first copy cannot have been received, or if a second run is harmless. In all other
+//! cases the server waits for a notice of the run. If none comes, the caller receives an error when its
 //! answer is due.
 
 use crate::event_loop::actions::ActionExecutor;
@@ -43,7 +44,6 @@
         (Delivery::Unknown, _) if invocation.is_answered && !can_stop => Decision::EndRun,
         (Delivery::Unknown, _) if invocation.stop.is_some() => Decision::Nothing,
         (Delivery::Unknown, _) if invocation.is_answered => Decision::Stop,
-        (Delivery::Unknown, RunCommand::Resume) => Decision::SendAgain,
         (Delivery::Unknown, RunCommand::Start) if effect == Effect::Idempotent => Decision::SendAgain,
         (Delivery::Unknown, _) => Decision::AwaitNotice,
     }
