Runs whose ends the interpreter no longer keeps do not stay in the count

Cause: nothing noticed that the replay after CONNECT did not begin where the last link ended, and no later event ends a keyed run that is not running any more.

Change: the first indexed notice of a link is compared with the last one read. Counter replays_incomplete.

Unit tests of what is known of commands after a lost link.

--- a/crates/cli/tests/server.rs
+++ b/crates/cli/tests/server.rs
@@ -74,6 +74,7 @@
 #[test_case("link_lost_with_a_run")]
 #[test_case("link_lost_with_a_reply")]
 #[test_case("link_lost_with_run_and_notice")]
+#[test_case("link_lost_with_old_notices")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
--- a/crates/server/src/event.rs
+++ b/crates/server/src/event.rs
@@ -70,6 +70,9 @@
     },
     /// The connection to the interpreter is lost.
     LinkLost,
+    /// The interpreter could not replay all notices that were not read on earlier links. The ends of runs may
+    /// be among the missing notices.
+    NoticesMissed,
     /// The interpreter has sent a notice, for example that a run has ended.
     Notice(Notice),
     /// A downstream call has ended.
--- a/crates/server/src/event_loop/interpreter_session.rs
+++ b/crates/server/src/event_loop/interpreter_session.rs
@@ -167,3 +167,6 @@
         request.map(|request| request.timer)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/server/src/event_loop/link_recovery.rs
+++ b/crates/server/src/event_loop/link_recovery.rs
@@ -10,7 +10,7 @@
 use crate::resources::invocations::{Delivery, Invocation, RunCommand};
 use crate::wire::interpreter;
 use meadowstream_overload_control::{Effect, Preemption};
-use tracing::debug;
+use tracing::{debug, warn};
 
 /// What the controller must be told of a run after a link was lost.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -84,6 +84,43 @@
         recovered
     }
 
+    /// Handles missed notices. The ends of runs may be among them, so no run is certain to be reported.
+    pub fn notices_missed(&mut self) -> Vec<RecoveredRun> {
+        warn!("the interpreter no longer has all notices that were not read");
+        self.server.counters.replays_incomplete.add();
+        let can_stop = self.can_stop_runs();
+        let mut recovered = Vec::new();
+        for id in self.invocations.running() {
+            let Some(invocation) = self.invocations.get(id) else { continue };
+            // The fate of a run with an unconfirmed command is decided at the end of the replay.
+            if invocation.unconfirmed.is_some() || invocation.stop.is_some() || invocation.may_be_lost {
+                continue;
+            }
+            if invocation.is_answered && can_stop {
+                self.stop(id);
+            } else if invocation.is_answered {
+                recovered.push(RecoveredRun::Ended(id));
+            } else if !invocation.awaits_call {
+                self.await_notice(id);
+                recovered.push(RecoveredRun::Unconfirmed(id));
+            }
+        }
+        recovered
+    }
+
+    /// Handles a reply to a downstream call that the interpreter could not pass on, because no run waits for
+    /// it. The run may be over although no notice of its end was read.
+    pub fn reply_not_taken(&mut self, id: u64) -> Option<RecoveredRun> {
+        let invocation = self.invocations.get(id)?;
+        let is_resuming =
+            invocation.unconfirmed.as_ref().is_some_and(|sent| sent.command == RunCommand::Resume);
+        if !is_resuming || invocation.is_answered {
+            return None;
+        }
+        self.await_notice(id);
+        Some(RecoveredRun::Unconfirmed(id))
+    }
+
     fn send_again(&mut self, id: u64) {
         let sent = self.invocations.get(id).and_then(|invocation| invocation.unconfirmed.take());
         let Some(sent) = sent else { return };
@@ -91,14 +128,15 @@
         self.send_for_run(id, sent.command, sent.line);
     }
 
-    /// Gives up the last command of a run, whose receipt is unknown, and waits for a notice of the run.
+    /// Waits for a notice of a run that may be over or may wait for a lost reply. Gives up the run's last
+    /// command if its receipt is unknown.
     fn await_notice(&mut self, id: u64) {
         let Some(invocation) = self.invocations.get(id) else { return };
         invocation.may_be_lost = true;
         let sent = invocation.unconfirmed.take();
         let command = sent.map(|sent| sent.command);
         let reference = format!("{:016x}", invocation.reference);
-        debug!(reference, ?command, "command may have been lost with the link");
+        debug!(reference, ?command, "the run may have been lost");
         self.server.counters.receipts_unknown.add();
     }
 
--- a/crates/server/src/event_loop/mod.rs
+++ b/crates/server/src/event_loop/mod.rs
@@ -126,12 +126,11 @@
                 self.handle_link(cold, age, commands);
             }
             Event::LinkLost => self.actions.link_lost(),
+            Event::NoticesMissed => self.handle_notices_missed(),
             Event::Notice(notice) => self.handle_notice(notice),
             Event::CallEnded { invocation, number, outcome, reply, duration } => {
                 if self.actions.call_ended(invocation, number, outcome, &reply) {
-                    self.with_controller(|controller, now, actions| {
-                        controller.on_call_finished(now, invocation, outcome, duration, actions);
-                    });
+                    self.handle_call_end(invocation, outcome, duration);
                 }
             }
             Event::DownstreamCapacity => self.on_timer(RECHECK_TIMER, Gauges::default()),
@@ -269,7 +268,8 @@
             self.handle_run_end(id, Outcome::Cancelled, Vec::new());
         }
         if self.actions.session.end_replay(nonce) {
-            self.recover_runs();
+            let runs = self.actions.recover_runs();
+            self.handle_recovered_runs(runs);
         } else if let Some(timer) = self.actions.session.end_gauges_request(nonce) {
             let settings = &self.actions.server.configuration.settings;
             let reading = |index: Option<usize>| index.and_then(|index| readings.get(index).copied());
@@ -279,8 +279,20 @@
         }
     }
 
-    fn recover_runs(&mut self) {
-        for run in self.actions.recover_runs() {
+    fn handle_call_end(&mut self, id: u64, outcome: Outcome, duration: Nanos) {
+        self.with_controller(|controller, now, actions| {
+            controller.on_call_finished(now, id, outcome, duration, actions);
+        });
+    }
+
+    fn handle_notices_missed(&mut self) {
+        let runs = self.actions.notices_missed();
+        self.handle_recovered_runs(runs);
+    }
+
+    /// Notifies the controller of the runs that may have been lost with a link or with missed notices.
+    fn handle_recovered_runs(&mut self, runs: Vec<RecoveredRun>) {
+        for run in runs {
             match run {
                 RecoveredRun::Ended(id) => self.handle_run_end(id, Outcome::Cancelled, Vec::new()),
                 RecoveredRun::Unconfirmed(id) => {
@@ -300,8 +312,13 @@
             "the interpreter could not carry out a command"
         );
         let id = task.and_then(|task| self.actions.invocations.find(task));
-        if let Some(id) = id.filter(|_| command == "APPLY") {
-            self.handle_run_end(id, Outcome::NeverRan, Vec::new());
+        match (id, command) {
+            (Some(id), "APPLY") => self.handle_run_end(id, Outcome::NeverRan, Vec::new()),
+            (Some(id), "RESOLVE") => {
+                let run = self.actions.reply_not_taken(id);
+                self.handle_recovered_runs(run.into_iter().collect());
+            }
+            _ => {}
         }
     }
 
--- a/crates/server/src/interpreter/link.rs
+++ b/crates/server/src/interpreter/link.rs
@@ -129,6 +129,9 @@
             }
             while let Some(line) = reader.read(ring.front(), &mut incarnation.last_read, counters) {
                 ring.drop_front(line.length);
+                if line.missed {
+                    let _ = self.server.events.send(Event::NoticesMissed).await;
+                }
                 if let Some(notice) = line.notice {
                     let event = self.event(notice, incarnation, linked);
                     let _ = self.server.events.send(event).await;
--- a/crates/server/src/interpreter/reader.rs
+++ b/crates/server/src/interpreter/reader.rs
@@ -11,6 +11,9 @@
     /// The interpreter's notice, parsed from the line. `None` if the line contains no valid notice, or a
     /// notice that the server has read before.
     pub notice: Option<Notice>,
+    /// True if notices are missing before this one. The interpreter keeps a limited number of notices, and can
+    /// replay no older ones on a new link.
+    pub missed: bool,
     /// Number of bytes that the line occupies. The caller removes these bytes from the received bytes.
     pub length: usize,
 }
@@ -21,6 +24,8 @@
     /// True if the last line exceeded the maximum length and the rest of this line has not been received yet.
     /// The rest is skipped.
     skipping_line: bool,
+    /// True once a notice with an index was read on this link.
+    has_index: bool,
 }
 
 impl NoticeReader {
@@ -36,12 +41,14 @@
             }
         };
         if std::mem::take(&mut self.skipping_line) {
-            return Some(ReadLine { notice: None, length });
+            return Some(ReadLine { notice: None, missed: false, length });
         }
         counters.notices.add();
+        let mut missed = false;
         let notice = match interpreter::notice(line) {
             Ok((Some(index), _)) if index <= *last_read => None,
             Ok((index, notice)) => {
+                missed = index.is_some_and(|index| self.is_first_after_gap(index, *last_read));
                 *last_read = index.unwrap_or(*last_read);
                 Some(notice)
             }
@@ -51,13 +58,20 @@
                 None
             }
         };
-        Some(ReadLine { notice, length })
+        Some(ReadLine { notice, missed, length })
+    }
+
+    /// Returns whether the notice with this index is the first one of the link, and does not directly follow
+    /// the last notice that was read on earlier links.
+    fn is_first_after_gap(&mut self, index: u64, last_read: u64) -> bool {
+        let is_first = !std::mem::replace(&mut self.has_index, true);
+        is_first && index > last_read + 1
     }
 
     /// Skips the received part of a line that exceeds the maximum length.
     fn skip(&mut self, bytes: &[u8]) -> ReadLine {
         let end = bytes.iter().position(|byte| *byte == b'\n').map(|end| end + 1);
         self.skipping_line = end.is_none();
-        ReadLine { notice: None, length: end.unwrap_or(bytes.len()) }
+        ReadLine { notice: None, missed: false, length: end.unwrap_or(bytes.len()) }
     }
 }
--- a/crates/server/src/resources/counters.rs
+++ b/crates/server/src/resources/counters.rs
@@ -42,7 +42,7 @@
     invocations cancels health_checks bad_commands malformed
     succeeded throttled errored unanswered late_results
     runs_sent stops_sent runs_ended awaits replies_sent commands_sent_again commands_not_done
-    receipts_unknown runs_given_up
+    receipts_unknown runs_given_up replays_incomplete
     links notices bad_notices gauges_asked gauges_late
     calls calls_succeeded calls_errored calls_never_ran calls_unknown calls_dropped
     repeats tokens_full tokens_other calls_left_out
