Parts of abandoned changes no longer keep later changes from being published

Cause: Requests::assemble kept the parts of a change until the last one came, across leaderships, and passed over each new change in silence while there were sixteen. Only the operator could remove an entry, and a command that has ended sends nothing.

Change: parts are given up 3 s after the last one came, with a further request of the same operator, and with the end of the leadership. A change that finds no place is answered at once (too many changes are being received: try again); the outcome is not recorded, so that a repetition is accepted. Count incomplete_rejected.

Why this works: what an operator left behind goes without it, by time or by the role, and nothing waits unanswered.

--- a/crates/replication/src/member/control.rs
+++ b/crates/replication/src/member/control.rs
@@ -71,13 +71,14 @@
         self.advance_commit(now);
     }
 
-    /// Polls lagging members for their reports, if this member is the leader and the next poll round is due.
+    /// Gives up operators' incomplete requests, and polls lagging members for their reports, if this member is the leader and the next poll round is due.
     fn poll_lagging(&mut self, now: Nanos) {
         let Some(control) = &mut self.control else { return };
         if !control.replica.is_leader() || now < control.poll_due {
             return;
         }
         control.poll_due = now + POLL_ROUND_INTERVAL_NS;
+        control.requests.give_up_abandoned(now);
         let peers = &self.peers;
         control.progress.retain(|name| peers.is_alive(name));
         let newest = self.log.complete().number();
--- a/crates/replication/src/member/mod.rs
+++ b/crates/replication/src/member/mod.rs
@@ -56,6 +56,9 @@
     pub mismatched: u64,
     /// Number of checkpoint transfers that this member has started.
     pub transfers: u64,
+    /// Number of received parts of operators' changes that were rejected, because too many changes were
+    /// incomplete.
+    pub incomplete_rejected: u64,
 }
 
 /// How a member learned that entries of the log are committed.
--- a/crates/replication/src/member/operator.rs
+++ b/crates/replication/src/member/operator.rs
@@ -7,7 +7,7 @@
 use crate::message::{BODY_BYTES_MAX, LaggingSummary, Message, RequestId, RequestOutcome};
 use crate::progress::LaggingMember;
 use crate::replica::ProposeError;
-use crate::requests::PendingRequest;
+use crate::requests::{PendingRequest, TooManyIncomplete};
 use crate::time::Nanos;
 use std::collections::BTreeSet;
 
@@ -98,15 +98,30 @@
                 self.on_proposed(request, outcome, now);
             }
             Message::Submit { part, parts, changes, .. } => {
-                if let Some(changes) = control.requests.assemble(&request, part, parts, changes) {
-                    let outcome = self.propose(changes, now).map_err(RequestError::from);
-                    self.on_proposed(request, outcome, now);
+                match control.requests.assemble(now, &request, part, parts, changes) {
+                    Ok(Some(changes)) => {
+                        let outcome = self.propose(changes, now).map_err(RequestError::from);
+                        self.on_proposed(request, outcome, now);
+                    }
+                    Ok(None) => {}
+                    Err(error) => self.reject_part(request, part, error, now),
                 }
             }
             _ => {}
         }
     }
 
+    /// Answers an operator whose change cannot be received now. The outcome is not recorded, so that the
+    /// request can be repeated. One answer is sent for all parts.
+    fn reject_part(&mut self, request: RequestId, part: u32, error: TooManyIncomplete, now: Nanos) {
+        self.counts.incomplete_rejected += 1;
+        if part == 0 {
+            let to = request.from.clone();
+            let outcome = RequestOutcome::Rejected { reason: error.to_string() };
+            self.send(&to, &Message::Submitted { request, outcome }, now);
+        }
+    }
+
     /// Handles the result of proposing a requested change. If the change was appended to the log, the request
     /// stays pending until the change is committed. Otherwise, answers the request with the reason for the
     /// failure.
@@ -138,7 +153,7 @@
             }
             return;
         }
-        for PendingRequest { request, .. } in control.requests.take_all() {
+        for PendingRequest { request, .. } in control.requests.end_leadership() {
             let to = request.from.clone();
             self.send(&to, &Message::NotLeader { request, leader: None }, now);
         }
--- a/crates/server/src/event_loop/interpreter_session/tests.rs
+++ b/crates/server/src/event_loop/interpreter_session/tests.rs
@@ -7,7 +7,7 @@
 const COMMANDS_MAX: usize = 8;
 
 /// A command must not be taken for one that was not received if all of it but the end of the line was
-/// written: a reader may carry it out, and a second copy would run the operation again.
+/// written: a reader may carry it out, and sending it once more would start the operation again.
 #[test]
 fn a_command_is_not_received_only_if_it_was_not_written_as_a_whole() {
     let lost = LostLink { received: CommandPosition(10), written_bytes: 28 };
