A keyed run whose end is missed no longer makes the server refuse arrivals for good

Cause: a keyed run goes on after its answer, and nothing ended it but its own notice. A run without progress is what the controller calls a stalled server.

Evidence: scenario token_outlives_its_run.

Change: an answered run is stopped when its key has expired, since no call can be a repeat of it any more; once the BREAK is known to have come the run is over.

--- a/crates/cli/tests/server.rs
+++ b/crates/cli/tests/server.rs
@@ -75,6 +75,7 @@
 #[test_case("link_lost_with_a_reply")]
 #[test_case("link_lost_with_run_and_notice")]
 #[test_case("link_lost_with_old_notices")]
+#[test_case("token_outlives_its_run")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
@@ -167,8 +168,8 @@
         ],
         ended: "runs_given_up",
     },
-    // An idempotent run is started again. This time, too, nothing is reported. The next gauge response shows that
-    // the run is over.
+    // An idempotent run is started again. This time, too, nothing is reported. The next gauge response shows
+    // that the run is over.
     LostRun {
         links: 10,
         setup: &[],
@@ -187,8 +188,8 @@
     },
 ];
 
-/// Runs that were lost with a hundred links must not be counted as running for ever. Otherwise fewer and fewer
-/// invocations could run.
+/// Runs that were lost with a hundred links must not be counted as running for ever. Otherwise fewer and
+/// fewer invocations could run.
 #[test]
 fn runs_lost_with_a_hundred_links_leave_nothing_behind() {
     let lose_runs = |(i, lost): (usize, LostRun)| {
--- a/crates/overload-control/src/controller/events.rs
+++ b/crates/overload-control/src/controller/events.rs
@@ -78,8 +78,9 @@
         }
     }
 
-    /// Handles the loss of a command that may have been the one which started or resumed a run. The host keeps
-    /// waiting for news of the run. Until news arrives, the run does not make the server appear stalled.
+    /// Handles a run that may have been lost, because the command that started or resumed it may have been
+    /// lost. The host keeps waiting for news of the run. An unconfirmed run does not count as stalled, since
+    /// it may not exist.
     pub fn on_run_unconfirmed(&mut self, now: Nanos, id: u64, host: &mut dyn Host) {
         self.advance(now);
         if let Some(key) = self.invocations.find(id)
--- a/crates/replication/src/member/control.rs
+++ b/crates/replication/src/member/control.rs
@@ -71,7 +71,8 @@
         self.advance_commit(now);
     }
 
-    /// Gives up operators' incomplete requests, and polls lagging members for their reports, if this member is the leader and the next poll round is due.
+    /// Polls lagging members for their reports, and gives up operators' incomplete requests. Does nothing
+    /// unless this member is the leader and the next poll round is due.
     fn poll_lagging(&mut self, now: Nanos) {
         let Some(control) = &mut self.control else { return };
         if !control.replica.is_leader() || now < control.poll_due {
--- a/crates/server/src/event_loop/link_recovery.rs
+++ b/crates/server/src/event_loop/link_recovery.rs
@@ -24,14 +24,20 @@
 /// What to do about the last command of a run whose link was lost.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Decision {
+    /// The command is sent over the new link.
     SendAgain,
+    /// The run is stopped, because it is not needed.
     Stop,
+    /// The command is given up. A notice of the run is waited for.
     AwaitNotice,
+    /// The run is treated as over.
     EndRun,
-    /// The command to stop the run is sent again, which suffices.
+    /// The command was received, or the command to stop the run is sent again, which suffices.
     Nothing,
 }
 
+/// Decides about the last command of a run whose link was lost. `can_stop` states whether the settings permit
+/// the server to stop runs.
 fn decide(invocation: &Invocation, effect: Effect, can_stop: bool) -> Decision {
     let Some(sent) = &invocation.unconfirmed else { return Decision::Nothing };
     // The result of a run that is idempotent with a key may still answer repeated calls.
@@ -64,12 +70,9 @@
         let can_stop = self.can_stop_runs();
         let mut recovered = Vec::new();
         for id in self.invocations.running() {
-            let Some(operation) = self.invocations.get(id).map(|invocation| invocation.operation) else {
-                continue;
-            };
-            let effect = self.effect(operation);
+            let operations = &self.server.configuration.settings.deployment.operations;
             let Some(invocation) = self.invocations.get(id) else { continue };
-            match decide(invocation, effect, can_stop) {
+            match decide(invocation, operations[invocation.operation].effect, can_stop) {
                 Decision::SendAgain => self.send_again(id),
                 Decision::Stop => self.stop(id),
                 Decision::AwaitNotice => {
@@ -154,6 +157,23 @@
         }
     }
 
+    /// Stops the runs of answered invocations whose idempotency keys have expired. Until then, such a run goes
+    /// on, because its result may answer repeated calls. If the end of the run was missed, the run would
+    /// otherwise be counted as running for ever.
+    pub fn stop_runs_with_expired_keys(&mut self) {
+        if !self.can_stop_runs() {
+            return;
+        }
+        let now = self.server.clock.now();
+        for id in self.invocations.running() {
+            let Some(invocation) = self.invocations.get(id) else { continue };
+            let may_be_stopped = invocation.is_answered && invocation.stop.is_none();
+            if may_be_stopped && self.idempotency.has_expired(id, now) {
+                self.stop(id);
+            }
+        }
+    }
+
     /// Returns the ids of the invocations whose runs are certainly over, because the interpreter has received
     /// the command to stop them. The notice of the end came before, unless it was lost or the run never
     /// existed.
@@ -166,8 +186,8 @@
     /// Ends the run of a closed invocation if the run's last command may have been lost. No notice of the run
     /// may ever come, so the run must not be waited for. Repeated calls that wait for the outcome fail.
     pub fn end_lost_run(&mut self, id: u64) {
-        let is_lost = |invocation: &Invocation| invocation.may_be_lost && invocation.is_running;
-        if !self.invocations.get(id).is_some_and(|invocation| is_lost(invocation)) {
+        let invocation = self.invocations.get(id);
+        if !invocation.is_some_and(|invocation| invocation.may_be_lost && invocation.is_running) {
             return;
         }
         self.server.counters.runs_given_up.add();
--- a/crates/server/src/event_loop/mod.rs
+++ b/crates/server/src/event_loop/mod.rs
@@ -271,6 +271,7 @@
             let runs = self.actions.recover_runs();
             self.handle_recovered_runs(runs);
         } else if let Some(timer) = self.actions.session.end_gauges_request(nonce) {
+            self.actions.stop_runs_with_expired_keys();
             let settings = &self.actions.server.configuration.settings;
             let reading = |index: Option<usize>| index.and_then(|index| readings.get(index).copied());
             let utilization = reading(settings.utilization_gauge);
--- a/crates/server/src/interpreter/reader.rs
+++ b/crates/server/src/interpreter/reader.rs
@@ -11,8 +11,8 @@
     /// The interpreter's notice, parsed from the line. `None` if the line contains no valid notice, or a
     /// notice that the server has read before.
     pub notice: Option<Notice>,
-    /// True if notices are missing before this one. The interpreter keeps a limited number of notices, and can
-    /// replay no older ones on a new link.
+    /// True if notices are missing before this one. The interpreter keeps a limited number of notices, and
+    /// can replay no older ones on a new link.
     pub missed: bool,
     /// Number of bytes that the line occupies. The caller removes these bytes from the received bytes.
     pub length: usize,
--- a/crates/server/src/resources/idempotency.rs
+++ b/crates/server/src/resources/idempotency.rs
@@ -183,6 +183,13 @@
         }
     }
 
+    /// Returns whether no call can be a repeat of an invocation any more, because the window of its key has
+    /// ended. Returns false if the key is not stored.
+    pub fn has_expired(&self, invocation: u64, now: Nanos) -> bool {
+        let entry = self.entries.get(&invocation);
+        entry.is_some_and(|entry| now >= entry.window_end.saturating_add(self.unread_max))
+    }
+
     /// Stops a repeated call from waiting for the outcome of the original invocation.
     pub fn stop_waiting(&mut self, original: u64, repeat: u64) {
         if let Some(EntryState::Open(waiting)) = self.entries.get_mut(&original).map(|entry| &mut entry.state)
