--- a/crates/server/src/event_loop/link_recovery.rs
+++ b/crates/server/src/event_loop/link_recovery.rs
@@ -157,9 +157,9 @@
         }
     }
 
-    /// Stops the runs of answered invocations whose idempotency keys have expired. Until then, such a run goes
-    /// on, because its result may answer repeated calls. If the end of the run was missed, the run would
-    /// otherwise be counted as running for ever.
+    /// Stops the runs of answered invocations whose idempotency keys have expired. Until then, such a run
+    /// goes on, because its result may answer repeated calls. If the end of the run was missed, the run
+    /// would otherwise be counted as running for ever.
     pub fn stop_runs_with_expired_keys(&mut self) {
         if !self.can_stop_runs() {
             return;
