Log lines of runs: begun, stopped and why, ended, given up, and the counts of each period

Change: at debug, `run begun`, `run told to stop` with its cause, `run ended`, `run given up`, and each control period `running` against `limit`, `open` against `survivable`, `pending` and both gauges. At info, `linked to the interpreter` says how many runs are in hand. No decision changes.

--- a/crates/overload-control/src/controller.rs
+++ b/crates/overload-control/src/controller.rs
@@ -14,6 +14,7 @@
 
 pub use crate::regulator::CONTROL_PERIOD;
 pub use crate::timers::CONTROL_TIMER;
+pub use conditions::RunCounts;
 
 use crate::admission::{Admission, PriorityClasses};
 use crate::advertised_load::AdvertisedLoad;
--- a/crates/overload-control/src/controller/conditions.rs
+++ b/crates/overload-control/src/controller/conditions.rs
@@ -12,7 +12,34 @@
 /// runs.
 const PRESUMED_LOST_RATIO: f64 = 2.0;
 
+/// Counts by which the controller decides whether another run may start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RunCounts {
+    /// Number of runs that are expected to be on the cores.
+    pub running: f64,
+    /// Number of open runs. An open run is on a core, waits to make a downstream call, or has a downstream
+    /// call in progress.
+    pub open: f64,
+    /// Learned limit on `running`.
+    pub limit: f64,
+    /// Maximum of `open`.
+    pub survivable: f64,
+    /// Number of pending invocations.
+    pub pending: usize,
+}
+
 impl Controller {
+    /// Returns the counts by which the controller decides whether another run may start.
+    pub fn run_counts(&self) -> RunCounts {
+        RunCounts {
+            running: self.running(),
+            open: self.open_runs(),
+            limit: self.concurrency.get(),
+            survivable: self.concurrency.survivable(self.now),
+            pending: self.invocations.count(&[InvocationState::Pending]) as usize,
+        }
+    }
+
     /// Number of runs on the cores. Unconfirmed runs are included as long as they are expected to end.
     pub(super) fn running(&self) -> f64 {
         self.invocations.count(&[InvocationState::Running]) + self.unconfirmed_runs_on_cores()
--- a/crates/server/src/event_loop/actions.rs
+++ b/crates/server/src/event_loop/actions.rs
@@ -4,6 +4,7 @@
 use crate::connection::table::Notification;
 use crate::event_loop::answers;
 use crate::event_loop::interpreter_session::InterpreterSession;
+use crate::event_loop::run_log::{self, StopCause};
 use crate::event_loop::timers::{Timer, TimerQueue};
 use crate::resources::idempotency::IdempotencyTable;
 use crate::resources::invocations::{Delivery, Invocations, RunCommand, SentCommand};
@@ -156,16 +157,17 @@
         let awaits_call = invocation.is_running && invocation.awaits_call;
         let operation = invocation.operation;
         if awaits_call && self.effect(operation) != Effect::IdempotentWithKey {
-            self.stop(id);
+            self.stop(id, StopCause::CallAbandoned);
         }
     }
 
     /// Sends the interpreter a command to stop the run of an invocation. Does nothing if the invocation has
     /// no run.
-    pub fn stop(&mut self, id: u64) {
+    pub fn stop(&mut self, id: u64, cause: StopCause) {
         let Some(invocation) = self.invocations.get(id).filter(|invocation| invocation.is_running) else {
             return;
         };
+        run_log::stopping(invocation, cause);
         let line = interpreter::stop(invocation.reference);
         self.server.counters.stops_sent.add();
         let delivery = self.send(line);
@@ -179,6 +181,7 @@
     pub fn run_ended(&mut self, id: u64, outcome: Outcome, result: Vec<u8>) {
         self.server.counters.runs_ended.add();
         if let Some(invocation) = self.invocations.get(id) {
+            run_log::ended(invocation, outcome);
             invocation.may_be_lost = false;
         }
         self.abandon_call(id);
@@ -225,7 +228,7 @@
     pub fn fail_as_unsupported(&mut self, id: u64, what: &str) {
         warn!(what, "cannot carry out an action of the controller");
         self.answer(id, Answer::Failed);
-        self.stop(id);
+        self.stop(id, StopCause::Unsupported);
         self.unsupported.push(id);
     }
 }
--- a/crates/server/src/event_loop/host.rs
+++ b/crates/server/src/event_loop/host.rs
@@ -2,6 +2,7 @@
 //! executes it.
 
 use crate::event_loop::actions::{ActionExecutor, PromisedAdmission};
+use crate::event_loop::run_log::{self, StopCause};
 use crate::event_loop::timers::Timer;
 use crate::resources::idempotency::Replay;
 use crate::resources::invocations::RunCommand;
@@ -14,6 +15,7 @@
     fn start_run(&mut self, id: u64) {
         let Some(invocation) = self.invocations.get(id) else { return };
         invocation.is_running = true;
+        run_log::begun(invocation);
         let operation = &self.server.configuration.settings.operation_names[invocation.operation];
         let line = interpreter::apply(invocation.reference, operation, &invocation.body);
         self.server.counters.runs_sent.add();
@@ -21,7 +23,8 @@
     }
 
     fn stop_run(&mut self, id: u64) {
-        self.stop(id);
+        let is_answered = self.invocations.get(id).is_some_and(|invocation| invocation.is_answered);
+        self.stop(id, if is_answered { StopCause::Answered } else { StopCause::PresumedLost });
     }
 
     fn promise_admission(&mut self, invocation: u64, ticket: u64) {
--- a/crates/server/src/event_loop/link_recovery.rs
+++ b/crates/server/src/event_loop/link_recovery.rs
@@ -7,6 +7,7 @@
 //! answer is due.
 
 use crate::event_loop::actions::ActionExecutor;
+use crate::event_loop::run_log::{self, StopCause};
 use crate::resources::invocations::{Delivery, Invocation, RunCommand};
 use crate::wire::interpreter;
 use meadowstream_overload_control::{Effect, Preemption};
@@ -74,7 +75,7 @@
             let Some(invocation) = self.invocations.get(id) else { continue };
             match decide(invocation, operations[invocation.operation].effect, can_stop) {
                 Decision::SendAgain => self.send_again(id),
-                Decision::Stop => self.stop(id),
+                Decision::Stop => self.stop(id, StopCause::Answered),
                 Decision::AwaitNotice => {
                     self.await_notice(id);
                     recovered.push(RecoveredRun::Unconfirmed(id));
@@ -100,7 +101,7 @@
                 continue;
             }
             if invocation.is_answered && can_stop {
-                self.stop(id);
+                self.stop(id, StopCause::NoticesMissed);
             } else if invocation.is_answered {
                 recovered.push(RecoveredRun::Ended(id));
             } else if !invocation.awaits_call {
@@ -169,7 +170,7 @@
             let Some(invocation) = self.invocations.get(id) else { continue };
             let may_be_stopped = invocation.is_answered && invocation.stop.is_none();
             if may_be_stopped && self.idempotency.has_expired(id, now) {
-                self.stop(id);
+                self.stop(id, StopCause::KeyExpired);
             }
         }
     }
@@ -186,13 +187,12 @@
     /// Ends the run of a closed invocation if the run's last command may have been lost. No notice of the run
     /// may ever come, so the run must not be waited for. Repeated calls that wait for the outcome fail.
     pub fn end_lost_run(&mut self, id: u64) {
-        let invocation = self.invocations.get(id);
-        if !invocation.is_some_and(|invocation| invocation.may_be_lost && invocation.is_running) {
-            return;
-        }
+        let is_lost = |invocation: &&mut Invocation| invocation.may_be_lost && invocation.is_running;
+        let Some(invocation) = self.invocations.get(id).filter(is_lost) else { return };
+        run_log::given_up(invocation);
         self.server.counters.runs_given_up.add();
         if self.can_stop_runs() {
-            self.stop(id);
+            self.stop(id, StopCause::Answered);
         }
         if let Some(invocation) = self.invocations.get(id) {
             invocation.is_running = false;
--- a/crates/server/src/event_loop/mod.rs
+++ b/crates/server/src/event_loop/mod.rs
@@ -8,6 +8,7 @@
 mod host;
 pub mod interpreter_session;
 mod link_recovery;
+mod run_log;
 mod timers;
 
 use crate::event::{Event, Request};
@@ -104,6 +105,9 @@
 
     fn on_timer(&mut self, timer: u32, gauges: Gauges) {
         self.with_controller(|controller, now, actions| controller.on_timer(now, timer, gauges, actions));
+        if let Some(controller) = self.controller.as_ref().filter(|_| timer == CONTROL_TIMER) {
+            run_log::control_period(gauges, &controller.run_counts());
+        }
     }
 
     fn handle_event(&mut self, event: Event) {
@@ -204,7 +208,8 @@
     fn handle_link(&mut self, cold: bool, age: Nanos, commands: CommandSender) {
         self.actions.session.set_link(commands);
         let links = self.actions.session.links();
-        info!(cold, age_ms = age / 1_000_000, links, "linked to the interpreter");
+        let runs = self.actions.invocations.running().len();
+        info!(cold, age_ms = age / 1_000_000, links, runs, "linked to the interpreter");
         if self.controller.is_some() {
             self.actions.session.send_replay_fence();
             return;
