--- /dev/null
+++ b/crates/cli/tests/standing_cores.rs
@@ -0,0 +1,164 @@
+//! Runs the program with an interpreter whose cores stand still for some time. The interpreter goes on
+//! accepting commands and reporting gauges, and carries out no command to stop a run.
+
+use meadowstream_test_doubles::fleet::{FleetHarness, HarnessOptions, wait_for};
+use meadowstream_test_doubles::interpreter::{InterpreterFaults, RunCounts};
+use meadowstream_test_doubles::open_loop::{self, LoadSettings, ReplyCounts};
+use serde_json::{Value, json};
+use std::path::Path;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+const CORES: f64 = 6.0;
+/// Calls per second. Each uses 0.05 to 0.3 s of core time, so that the cores are overloaded at full speed, too.
+const RATE: f64 = 80.0;
+const START_MAX: Duration = Duration::from_secs(20);
+/// Tolerance for the time in which a call is answered, as the protocol grants it.
+const SLACK_MS: u64 = 100;
+
+/// Trouble at the interpreter during one play.
+#[derive(Clone, Copy)]
+struct Trouble {
+    /// Speed of the cores while they are in trouble, as a ratio of full speed.
+    speed: f64,
+    /// Time for which the cores are in trouble, and then for which they have full speed. The two times follow
+    /// each other until the end of the play.
+    troubled: Duration,
+    healthy: Duration,
+    /// Period at which the link is reset; `None` if the link is kept.
+    resets_link: Option<Duration>,
+    /// Time before each reset for which commands are read from the link and lost.
+    loses_commands: Duration,
+}
+
+const STANDING: Trouble = Trouble {
+    speed: 0.0,
+    troubled: Duration::from_secs(8),
+    healthy: Duration::from_secs(3),
+    resets_link: None,
+    loses_commands: Duration::ZERO,
+};
+const STANDING_AND_RESET: Trouble = Trouble {
+    resets_link: Some(Duration::from_millis(600)),
+    loses_commands: Duration::from_millis(30),
+    ..STANDING
+};
+
+struct Play {
+    replies: ReplyCounts,
+    most_mean: f64,
+    most_load: f64,
+    repeated: u64,
+    begun_again: u64,
+    counters: Vec<String>,
+}
+
+fn operations(effect: &str, give_up: Duration) -> Value {
+    let micros = give_up.as_micros() as u64;
+    json!([{"name": "load", "effect": effect, "target": micros * 4 / 5, "give-up": micros, "worth": 1.0,
+        "window": micros}])
+}
+
+fn apply(trouble: &Trouble, faults: &InterpreterFaults, span: Duration) {
+    let began = Instant::now();
+    let mut next_reset = trouble.resets_link;
+    while began.elapsed() < span {
+        let in_cycle = began.elapsed().as_micros() % (trouble.troubled + trouble.healthy).as_micros();
+        let is_troubled = in_cycle >= trouble.healthy.as_micros();
+        faults.set_speed(if is_troubled { trouble.speed } else { 1.0 });
+        if let (Some(at), Some(period)) = (next_reset, trouble.resets_link) {
+            if began.elapsed() + trouble.loses_commands >= at {
+                faults.ignore_commands();
+            }
+            if began.elapsed() >= at {
+                faults.reset_link();
+                next_reset = Some(at + period);
+            }
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    faults.set_speed(1.0);
+}
+
+fn play(
+    seed: u64,
+    effect: &str,
+    give_up: Duration,
+    preemption: &str,
+    trouble: &Trouble,
+    span: Duration,
+) -> Play {
+    let options = if effect == "by_key" { r#"<tokens field="token"/>"#.to_string() } else { String::new() };
+    let options = HarnessOptions {
+        cores: CORES,
+        options,
+        settings: vec![
+            ("grades", operations(effect, give_up)),
+            ("family-info/preemption", json!(preemption)),
+        ],
+        ..HarnessOptions::default()
+    };
+    let program = Path::new(env!("CARGO_BIN_EXE_meadowstream"));
+    let mut fleet = FleetHarness::with_options(program, 1, 1, seed, options).unwrap();
+    let to = wait_for(START_MAX, || fleet.listen_address(0)).expect("a started server");
+    wait_for(START_MAX, || fleet.has_logged(0, "linked to the interpreter").then_some(())).expect("a link");
+    let load = LoadSettings {
+        rate: RATE,
+        work: Duration::from_millis(50)..=Duration::from_millis(300),
+        makes_calls: false,
+        operations: vec!["load"],
+        key_field: (effect == "by_key").then_some("token"),
+        span,
+        seed,
+    };
+    let load = open_loop::start_with(to, load);
+    let faults = fleet.interpreter_faults(0).unwrap();
+    apply(trouble, &faults, span);
+    let replies = load.join().unwrap();
+    fleet.signal_and_keep(0, "TERM").unwrap();
+    let status = wait_for(START_MAX, || fleet.exit_status(0)).expect("an ended server");
+    assert!(status.success(), "{status}");
+    let counters = fleet.timestamped_log_lines(0).into_iter();
+    let counters = counters.filter_map(|(_, fields)| fields["message"].as_str().map(str::to_string));
+    let counters = counters.filter(|line| line.contains("counters:")).collect();
+    let runs = fleet.run_counts(0).unwrap();
+    let thousandths = |count: fn(&RunCounts) -> u64| count(&runs) as f64 / 1e3;
+    Play {
+        replies,
+        most_mean: thousandths(|runs| runs.most_mean_thousandths.load(Relaxed)),
+        most_load: thousandths(|runs| runs.most_load_thousandths.load(Relaxed)),
+        repeated: runs.repeated.load(Relaxed),
+        begun_again: runs.begun_again.load(Relaxed),
+        counters,
+    }
+}
+
+impl Play {
+    fn assert_rules(&self, effect: &str, give_up: Duration) {
+        let Self { replies, most_mean, most_load, repeated, begun_again, counters } = self;
+        println!(
+            "{effect}: at most {most_mean:.1} runs on average, {most_load:.2} of what is survived; {replies:?}; {counters:?}"
+        );
+        assert!(*most_load <= 1.0, "{most_mean:.1} runs on the cores, {most_load:.2} of what is survived");
+        assert_eq!((replies.unanswered, replies.unexpected), (0, 0), "{replies:?}");
+        assert!(replies.slowest_ms <= give_up.as_millis() as u64 + SLACK_MS, "{replies:?}");
+        assert!(replies.succeeded > 0, "{replies:?}");
+        if effect != "repeatable" {
+            assert_eq!((*repeated, *begun_again), (0, 0), "runs that began twice");
+        }
+    }
+}
+
+/// The mean number of runs on the cores must stay within what the machine survives, although runs that were
+/// answered and told to stop are still there.
+#[test_case(1, "repeatable", STANDING; "repeatable")]
+#[test_case(2, "repeatable", STANDING_AND_RESET; "repeatable with resets")]
+#[test_case(3, "by_key", STANDING; "with keys")]
+#[test_case(4, "by_key", STANDING_AND_RESET; "with keys and resets")]
+#[test_case(5, "once", STANDING; "once")]
+#[test_case(6, "once", STANDING_AND_RESET; "once with resets")]
+fn standing_cores_are_not_overloaded(seed: u64, effect: &str, trouble: Trouble) {
+    let give_up = Duration::from_millis(600);
+    play(seed, effect, give_up, "discard", &trouble, Duration::from_secs(22)).assert_rules(effect, give_up);
+}
--- a/crates/test-doubles/src/fleet/files.rs
+++ b/crates/test-doubles/src/fleet/files.rs
@@ -1,5 +1,6 @@
 //! Creates the configuration and options files for the processes of a fleet.
 
+use crate::interpreter::Survivable;
 use serde_json::{Value, json};
 use std::fmt::{self, Display, Formatter};
 use std::net::SocketAddr;
@@ -37,6 +38,11 @@
     pub programs: Vec<PathBuf>,
     /// Address to which the first server binds its membership socket. `None` selects a free port.
     pub first_membership_bind: Option<SocketAddr>,
+    /// What the machine of each interpreter survives. The configuration of the servers states the same.
+    pub survivable: Survivable,
+    /// Settings that replace those of the default configuration. The key is a path such as
+    /// `contract/fall-multiple` below the key `settings`, and the value is the setting.
+    pub settings: Vec<(&'static str, Value)>,
 }
 
 /// Addresses that the configuration of one server contains.
@@ -48,8 +54,11 @@
 }
 
 /// Returns the JSON configuration of the server with this index.
-pub fn configuration(index: usize, cores: f64, addresses: &ServerAddresses) -> Value {
-    json!({
+pub fn configuration(index: usize, options: &HarnessOptions, addresses: &ServerAddresses) -> Value {
+    let cores = options.cores.max(1.0);
+    let Survivable { ratio, window, cold_speed, warm_up } = options.survivable;
+    let is_cold = cold_speed < 1.0;
+    let mut configuration = json!({
         "name": format!("s{index}"), "listen": addresses.listen, "vm": addresses.interpreter,
         "records": addresses.downstream_service,
         "directory": addresses.registry, "seed": "8c1f30d27a5be964",
@@ -58,13 +67,19 @@
             "grades": [{"name": "load", "effect": "repeatable", "target": 8_000_000, "give-up": 9_000_000,
                 "worth": 1.0}],
             "peers-total": 1, "orgs": [],
-            "contract": {"drain-grace": 200_000, "grace-to-answer": 50_000, "fall-multiple": 8.0,
-                "cold-from": 0.2, "cold": 1},
+            "contract": {"drain-grace": 200_000, "grace-to-answer": 50_000, "fall-multiple": ratio,
+                "fall": window.as_micros() as u64, "cold-from": if is_cold { cold_speed } else { 0.2 },
+                "cold": (warm_up.as_micros() as u64).max(1)},
             "family-info": {"below": "tier", "cores": cores, "memory-kb": 100_000, "run-factor": 4.0,
                 "entry-kb": 7, "preemption": "discard", "say": "weight", "idle": 15_000_000,
                 "own-stats": ["cpu_busy", "runnable"]},
         },
-    })
+    });
+    for (path, value) in &options.settings {
+        let setting = path.split('/').fold(&mut configuration["settings"], |value, key| &mut value[key]);
+        *setting = value.clone();
+    }
+    configuration
 }
 
 /// Options file of one server. The [`Display`] implementation formats the file as XML.
--- a/crates/test-doubles/src/fleet/harness.rs
+++ b/crates/test-doubles/src/fleet/harness.rs
@@ -6,7 +6,7 @@
 use super::process::ServerProcess;
 use super::{WAIT_MAX, wait_for};
 use crate::interpreter;
-use crate::interpreter::RunCounts;
+use crate::interpreter::{Interpreter, InterpreterFaults, RunCounts};
 use crate::udp_relay::UdpRelay;
 use anyhow::{Context, Result};
 use serde_json::Value;
@@ -91,16 +91,17 @@
 
     /// Starts the server with this index. The server may have been started and killed before.
     pub fn start(&mut self, index: usize) -> Result<()> {
-        let (mut interpreter, mut runs) = (self.silent_interpreter.local_addr()?, None);
-        if self.options.cores > 0.0 {
-            let (address, counts) = interpreter::start(self.options.cores)?;
-            (interpreter, runs) = (address, Some(counts));
-        }
-        self.write_files(index, interpreter)?;
+        let HarnessOptions { cores, survivable, .. } = self.options;
+        let interpreter = if cores > 0.0 { Some(interpreter::start_with(cores, survivable)?) } else { None };
+        let silent_interpreter = self.silent_interpreter.local_addr()?;
+        self.write_files(
+            index,
+            interpreter.as_ref().map_or(silent_interpreter, |interpreter| interpreter.address),
+        )?;
         let mut child = self.spawn(index)?;
         let log = ServerLog::default();
         log.read(&mut child)?;
-        self.wait_until_joined(index, ServerProcess { child, log, runs }, 0)
+        self.wait_until_joined(index, ServerProcess { child, log, interpreter }, 0)
     }
 
     fn write_files(&self, index: usize, interpreter: SocketAddr) -> Result<()> {
@@ -117,7 +118,7 @@
                 .to_string(),
             registry: self.registry.local_addr()?.to_string(),
         };
-        let configuration = configuration(index, self.options.cores.max(1.0), &addresses);
+        let configuration = configuration(index, &self.options, &addresses);
         let options = OptionsFile {
             index,
             advertised: self.relay.endpoint(index),
@@ -212,8 +213,7 @@
     /// Returns the number of repeated runs on the interpreter of the server with this index
     /// ([`RunCounts::repeated`]). A run is repeated if another run of its task ended shortly before.
     pub fn repeated_runs(&self, index: usize) -> u64 {
-        let runs = self.processes[index].as_ref().and_then(|process| process.runs.as_ref());
-        runs.map_or(0, |runs| runs.repeated.load(Relaxed))
+        self.run_counts(index).map_or(0, |runs| runs.repeated.load(Relaxed))
     }
 
     pub(super) fn log(&self, index: usize) -> Option<&ServerLog> {
@@ -235,7 +235,17 @@
     /// Returns the counts of runs on the interpreter of the server with this index; `None` without an
     /// interpreter.
     pub fn run_counts(&self, index: usize) -> Option<Arc<RunCounts>> {
-        self.processes[index].as_ref()?.runs.clone()
+        Some(self.interpreter(index)?.counts.clone())
+    }
+
+    /// Returns the faults that can be switched on at the interpreter of the server with this index; `None`
+    /// without an interpreter.
+    pub fn interpreter_faults(&self, index: usize) -> Option<Arc<InterpreterFaults>> {
+        Some(self.interpreter(index)?.faults.clone())
+    }
+
+    fn interpreter(&self, index: usize) -> Option<&Interpreter> {
+        self.processes[index].as_ref()?.interpreter.as_ref()
     }
 
     /// Returns the state of a server's process, as `/proc` shows it.
--- a/crates/test-doubles/src/fleet/process.rs
+++ b/crates/test-doubles/src/fleet/process.rs
@@ -1,18 +1,17 @@
 //! Process of the program under test, and the signals sent to it.
 
 use super::log::ServerLog;
-use crate::interpreter::RunCounts;
+use crate::interpreter::Interpreter;
 use anyhow::{Result, ensure};
 use std::process::{Child, Command};
-use std::sync::Arc;
 
 /// Process of the program under test. When this value is dropped, the process is killed. SIGCONT is sent
 /// first, because the process may be stopped by SIGSTOP.
 pub struct ServerProcess {
     pub child: Child,
     pub log: ServerLog,
-    /// Counts of the runs on the server's interpreter; `None` if the server has no interpreter test double.
-    pub runs: Option<Arc<RunCounts>>,
+    /// The server's interpreter; `None` if the server has no interpreter test double.
+    pub interpreter: Option<Interpreter>,
 }
 
 impl ServerProcess {
--- a/crates/test-doubles/src/interpreter/link.rs
+++ b/crates/test-doubles/src/interpreter/link.rs
@@ -5,13 +5,17 @@
 use async_io::{Async, Timer};
 use futures_lite::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use futures_lite::{StreamExt, future};
+use rustix::net::sockopt;
 use std::net::TcpStream;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Period at which the interpreter looks for faults that a test has switched on or off.
+const FAULTS_PERIOD: Duration = Duration::from_millis(5);
 
 /// Event that the interpreter handles while it serves a link.
 enum Event {
-    /// A run has reached its downstream call or its end.
-    RunDue,
+    /// A run has reached its downstream call or its end, or it is time to look for faults.
+    Due,
     Line(String),
     Closed,
 }
@@ -29,9 +33,9 @@
             }
         };
         let due = async {
-            let Some(due) = machine.next_due() else { return future::pending().await };
-            Timer::at(due).await;
-            Event::RunDue
+            let look_for_faults = Instant::now() + FAULTS_PERIOD;
+            Timer::at(machine.next_due().map_or(look_for_faults, |due| due.min(look_for_faults))).await;
+            Event::Due
         };
         let event = future::or(line, due).await;
         let now = Instant::now();
@@ -40,7 +44,8 @@
         machine.retain_notices(&notices);
         let run_notices = notices.len();
         match event {
-            Event::RunDue => {}
+            Event::Due => {}
+            Event::Line(_) if machine.faults().ignores_commands() => {}
             Event::Line(line) => {
                 let command = serde_json::from_str(&line).map_err(std::io::Error::other)?;
                 machine.execute(&command, now, &mut notices);
@@ -53,5 +58,10 @@
         machine.retain_notices(&notices[run_notices..]);
         let text: String = notices.iter().map(|notice| format!("{notice}\n")).collect();
         (&stream).write_all(text.as_bytes()).await?;
+        if machine.faults().takes_link_reset() {
+            // A socket that is closed without lingering sends a reset.
+            sockopt::set_socket_linger(&stream, Some(Duration::ZERO))?;
+            return Ok(());
+        }
     }
 }
--- a/crates/test-doubles/src/interpreter/machine.rs
+++ b/crates/test-doubles/src/interpreter/machine.rs
@@ -1,6 +1,8 @@
 //! Simulates the machine of the interpreter. The machine has cores, which all runs share. Commands of the
 //! server start and end runs. The machine reads no clock; its caller passes the current time.
 
+use super::core_load::{CoreLoad, Survivable};
+use super::faults::InterpreterFaults;
 use base64::{Engine, engine::general_purpose::STANDARD};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, VecDeque};
@@ -17,8 +19,15 @@
     pub ended: AtomicU64,
     /// Number of repeated runs. A run is repeated if another run of its task ended within the previous 10 s.
     pub repeated: AtomicU64,
+    /// Number of runs whose task had begun an earlier run within the previous 10 s, however that run ended.
+    pub begun_again: AtomicU64,
     /// Highest number of runs that were on the cores at one time.
     pub most_concurrent: AtomicU64,
+    /// Highest mean number of runs on the cores over [`Survivable::window`], in thousandths.
+    pub most_mean_thousandths: AtomicU64,
+    /// Highest mean number of runs on the cores as a share of what the machine survived at that time, in
+    /// thousandths. Above 1,000 the machine would have fallen over.
+    pub most_load_thousandths: AtomicU64,
 }
 
 /// Run of a task on the machine. Core time is the CPU time that the run uses, in microseconds.
@@ -54,6 +63,8 @@
     /// Time at which the last completed run of each task ended. The key is the task. An entry is kept for at
     /// least [`ENDED_MEMORY`].
     ended: BTreeMap<String, Instant>,
+    /// Time at which the last run of each task began. An entry is kept for at least [`ENDED_MEMORY`].
+    begun: BTreeMap<String, Instant>,
     /// Time up to which the runs have been simulated.
     advanced_to: Instant,
     /// Core time that runs have used since the server last read the utilization, in microseconds.
@@ -65,6 +76,11 @@
     notices: VecDeque<Value>,
     started: Instant,
     counts: Arc<RunCounts>,
+    faults: Arc<InterpreterFaults>,
+    /// Speed of the cores since `advanced_to`, as a ratio of full speed.
+    speed: f64,
+    survivable: Survivable,
+    load: CoreLoad,
 }
 
 const NOTICES_MAX: usize = 4096;
@@ -79,12 +95,18 @@
 
 impl Machine {
     /// Creates a machine without runs.
-    pub fn new(cores: f64, counts: Arc<RunCounts>) -> Self {
+    pub fn new(
+        cores: f64,
+        survivable: Survivable,
+        counts: Arc<RunCounts>,
+        faults: Arc<InterpreterFaults>,
+    ) -> Self {
         let now = Instant::now();
         Self {
             cores,
             runs: BTreeMap::new(),
             ended: BTreeMap::new(),
+            begun: BTreeMap::new(),
             advanced_to: now,
             busy_us: 0.0,
             gauges_read: now,
@@ -92,6 +114,10 @@
             notices: VecDeque::new(),
             started: now,
             counts,
+            faults,
+            speed: 1.0,
+            load: CoreLoad::new(survivable.window),
+            survivable,
         }
     }
 
@@ -99,9 +125,15 @@
         self.runs.values().filter(|run| !run.awaits_call).count()
     }
 
-    /// Returns the share of a core that each run on the cores uses. A run uses at most one core.
+    /// Returns the faults of this interpreter.
+    pub fn faults(&self) -> &InterpreterFaults {
+        &self.faults
+    }
+
+    /// Returns the share of a core at full speed that each run on the cores uses. A run uses at most one
+    /// core.
     fn core_share(&self) -> f64 {
-        (self.cores / self.runs_on_cores().max(1) as f64).min(1.0)
+        (self.cores / self.runs_on_cores().max(1) as f64).min(1.0) * self.speed
     }
 
     /// Returns the earliest time at which a run reaches its downstream call or its end. Returns `None` if no
@@ -109,7 +141,8 @@
     pub fn next_due(&self) -> Option<Instant> {
         let on_cores = self.runs.values().filter(|run| !run.awaits_call);
         let least_us = on_cores.map(|run| run.remaining_us).reduce(f64::min)?;
-        Some(self.advanced_to + Duration::from_secs_f64(least_us.max(1.0) / self.core_share() / 1e6))
+        let share = Some(self.core_share()).filter(|share| *share > 0.0)?;
+        Some(self.advanced_to + Duration::from_secs_f64(least_us.max(1.0) / share / 1e6))
     }
 
     /// Simulates all runs up to the time `now`. Appends a notice for each run that reaches its downstream
@@ -117,8 +150,11 @@
     pub fn advance(&mut self, now: Instant, notices: &mut Vec<Value>) {
         let passed_us = now.duration_since(self.advanced_to).as_secs_f64() * 1e6;
         let each_us = passed_us * self.core_share();
-        self.busy_us += passed_us * (self.runs_on_cores() as f64).min(self.cores);
+        let is_moving = f64::from(self.speed > 0.0);
+        self.busy_us += passed_us * (self.runs_on_cores() as f64).min(self.cores) * is_moving;
+        self.record_load(now);
         self.advanced_to = now;
+        self.speed = self.faults.speed() * self.survivable.speed(now - self.started);
         let mut ended = Vec::new();
         for (task, run) in self.runs.iter_mut().filter(|(_, run)| !run.awaits_call) {
             run.remaining_us -= each_us;
@@ -144,6 +180,14 @@
         }
     }
 
+    /// Records how many runs were on the cores since the runs were last simulated.
+    fn record_load(&mut self, now: Instant) {
+        let mean = self.load.record(self.advanced_to, now, self.runs_on_cores());
+        let survived = self.survivable.runs(self.cores, now - self.started);
+        self.counts.most_mean_thousandths.fetch_max((mean * 1e3) as u64, Relaxed);
+        self.counts.most_load_thousandths.fetch_max((mean / survived * 1e3) as u64, Relaxed);
+    }
+
     /// Retains the notices that have an index. Notices that the server does not read on the current link are
     /// sent again on the next link.
     pub fn retain_notices(&mut self, notices: &[Value]) {
@@ -174,8 +218,11 @@
     /// Begins a new link. Sends the banner, and then repeats the retained notices that the server has not
     /// read.
     fn connect(&self, command: &Value, now: Instant, notices: &mut Vec<Value>) {
-        let age_ms = now.duration_since(self.started).as_millis() as u64 + INITIAL_AGE_MS;
-        notices.push(json!({"verb": "BANNER", "outcome": "warm", "spent": age_ms}));
+        let is_cold = self.survivable.cold_speed < 1.0;
+        let initial_age_ms = if is_cold { 0 } else { INITIAL_AGE_MS };
+        let age_ms = now.duration_since(self.started).as_millis() as u64 + initial_age_ms;
+        let state = if is_cold { "cold" } else { "warm" };
+        notices.push(json!({"verb": "BANNER", "outcome": state, "spent": age_ms}));
         let last_read = command["index"].as_u64().unwrap_or(0);
         let unread = |notice: &&Value| notice["index"].as_u64() > Some(last_read);
         notices.extend(self.notices.iter().filter(unread).cloned());
@@ -186,15 +233,19 @@
             return;
         }
         self.ended.retain(|_, at| now.duration_since(*at) < ENDED_MEMORY);
+        self.begun.retain(|_, at| now.duration_since(*at) < ENDED_MEMORY);
         self.counts.repeated.fetch_add(u64::from(self.ended.contains_key(task)), Relaxed);
+        let begun_before = self.begun.insert(task.to_string(), now);
+        self.counts.begun_again.fetch_add(u64::from(begun_before.is_some()), Relaxed);
         let body = STANDARD.decode(command["bytes"].as_str().unwrap_or("")).unwrap_or_default();
         self.runs.insert(task.to_string(), Run::from_body(&body));
         self.counts.begun.fetch_add(1, Relaxed);
         self.counts.most_concurrent.fetch_max(self.runs_on_cores() as u64, Relaxed);
     }
 
+    /// Stops a run. While the cores stand still, nothing is stopped and nothing confirms the command.
     fn halt(&mut self, task: &str, notices: &mut Vec<Value>) {
-        if self.runs.remove(task).is_some() {
+        if self.speed > 0.0 && self.runs.remove(task).is_some() {
             self.last_index += 1;
             let index = self.last_index;
             notices.push(json!({"verb": "VALUE", "index": index, "task": task, "outcome": "halted"}));
--- a/crates/test-doubles/src/open_loop.rs
+++ b/crates/test-doubles/src/open_loop.rs
@@ -7,6 +7,7 @@
 use async_io::Timer;
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -57,10 +58,52 @@
     }
 }
 
+/// Settings of a load.
+#[derive(Clone, Debug)]
+pub struct LoadSettings {
+    /// Number of calls per second.
+    pub rate: f64,
+    /// Range of the core time that a call uses at the interpreter. The calls use times evenly spread over the
+    /// range.
+    pub work: RangeInclusive<Duration>,
+    /// Whether a call makes a downstream call after half of its work.
+    pub makes_calls: bool,
+    /// Operations that are called in turn.
+    pub operations: Vec<&'static str>,
+    /// Name of the field that carries a new idempotency key with each call; `None` without keys.
+    pub key_field: Option<&'static str>,
+    /// Time for which calls are sent.
+    pub span: Duration,
+    /// Number from which the references of the calls are derived.
+    pub seed: u64,
+}
+
+/// Number of different core times that the calls of a load use.
+const WORK_STEPS: u64 = 16;
+
+impl LoadSettings {
+    /// Returns the core time of the call with this reference.
+    fn work(&self, reference: u64) -> Duration {
+        let (least, most) = (*self.work.start(), *self.work.end());
+        // Neighbouring references get times that are far apart.
+        let step = (reference * 7) % WORK_STEPS;
+        least + (most - least).mul_f64(step as f64 / (WORK_STEPS - 1) as f64)
+    }
+
+    fn body(&self, reference: u64) -> String {
+        let calls = if self.makes_calls { " calls" } else { "" };
+        format!("work={}{calls}", self.work(reference).as_micros())
+    }
+
+    fn operation(&self, reference: u64) -> &'static str {
+        self.operations[reference as usize % self.operations.len()]
+    }
+}
+
 /// State that is shared by all calls of a load.
 struct Load {
     balancer: Rc<Balancer>,
-    work: Duration,
+    settings: LoadSettings,
     replies: Cell<ReplyCounts>,
     in_flight: Cell<u64>,
 }
@@ -69,9 +112,11 @@
     /// Sends one call, waits for its reply and counts the outcome.
     async fn call(self: Rc<Self>, reference: u64) {
         let sent_ms = unix_ms() as u64;
-        let fields = format!("ref={reference:016x},since={sent_ms},sender=1,room=4");
-        let body = format!("work={} calls", self.work.as_micros());
-        let reply = self.balancer.call("load", &fields, body.as_bytes()).await;
+        let key = self.settings.key_field.map(|field| format!(",{field}={reference:x}")).unwrap_or_default();
+        let fields = format!("ref={reference:016x},since={sent_ms},sender=1,room=4{key}");
+        let body = self.settings.body(reference);
+        let operation = self.settings.operation(reference);
+        let reply = self.balancer.call(operation, &fields, body.as_bytes()).await;
         let mut replies = self.replies.get();
         replies.add(reply.as_ref().map(|reply| reply.outcome.as_str()));
         if let Some(reply) = reply {
@@ -95,10 +140,19 @@
     span: Duration,
     seed: u64,
 ) -> JoinHandle<ReplyCounts> {
+    let (operations, work) = (vec!["load"], work..=work);
+    let settings = LoadSettings { rate, work, makes_calls: true, operations, key_field: None, span, seed };
+    start_with(to, settings)
+}
+
+/// Starts a thread that sends calls as `settings` states. The thread ends at most 10 s after the last call
+/// was sent.
+pub fn start_with(to: SocketAddr, settings: LoadSettings) -> JoinHandle<ReplyCounts> {
     std::thread::spawn(move || {
         let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
         let balancer = Balancer::new(to, CONNECTIONS_MAX, executor);
-        let load = Rc::new(Load { balancer, work, replies: Cell::default(), in_flight: Cell::new(0) });
+        let LoadSettings { rate, span, seed, .. } = settings;
+        let load = Rc::new(Load { balancer, settings, replies: Cell::default(), in_flight: Cell::new(0) });
         let (end, gap) = (Instant::now() + span, Duration::from_secs_f64(1.0 / rate));
         async_io::block_on(executor.run(async {
             let (mut next, mut reference) = (Instant::now(), seed << 32);
