A run that was told to stop stays in the counts until something shows that it is over

Received is not carried out: "none comes if nothing was stopped, as when the cores stand still" (WIRE, Stop). Each answered run left the count in the next control period and another took its place. The class: an inference stood for an observation, and each time it admitted more. Of it, too: an unconfirmed run left all counts when its caller was answered; an answered one that cannot be stopped was over at once after a lost link; a run that was stopped to be started again gave its place away; an entry of a key took a second outcome.

Cores at a share of their speed carry a BREAK out and do not show it.

Change: two quantities. Runs that are expected on the cores are what the learned limit bounds, as before. Runs that may be there (`Lingering`: answered, no end reported) count in what the machine survives, in memory and in the references in use, and bound starts to the limit plus the cores. BREAK is sent again once the cores move. Where only such runs are open, one run may start: its end shows that the cores move. Final answers wait for none of this.

--- a/crates/overload-control/src/concurrency_limit.rs
+++ b/crates/overload-control/src/concurrency_limit.rs
@@ -75,11 +75,17 @@
         self.warm_up.speed_ratio(now)
     }
 
+    /// Returns the number of open runs beyond which the server collapses. The number is lower while the server
+    /// warms up.
+    pub fn collapse(&self, now: Nanos) -> f64 {
+        let speed = self.warm_up.speed_ratio(now);
+        self.cores * (1.0 + (self.survivable_ratio - 1.0) * speed)
+    }
+
     /// Returns the maximum number of open runs. An open run is on a core, waits to make a downstream call, or
     /// has a downstream call in progress. The maximum is lower while the server warms up.
     pub fn survivable(&self, now: Nanos) -> f64 {
-        let speed = self.warm_up.speed_ratio(now);
-        self.cores * (1.0 + (self.survivable_ratio - 1.0) * speed) * SURVIVABLE_SHARE
+        self.collapse(now) * SURVIVABLE_SHARE
     }
 
     /// Adapts the limit to the load of the last control period.
--- a/crates/overload-control/src/controller.rs
+++ b/crates/overload-control/src/controller.rs
@@ -1,8 +1,8 @@
 //! The controller of one server: receives events, applies its rules in a fixed order, and instructs the host
 //! to act.
 //!
-//! The host calls `on_arrival`, `on_run_finished`, `on_run_unconfirmed`, `on_call_needed`,
-//! `on_call_finished`, `on_drain_notice`, `on_caller_gone` and `on_timer`. Each event updates the
+//! The host calls `on_arrival`, `on_run_finished`, `on_run_unconfirmed`, `on_stop_unconfirmed`,
+//! `on_call_needed`, `on_call_finished`, `on_drain_notice`, `on_caller_gone` and `on_timer`. Each event updates the
 //! controller's measurements. The controller then evaluates `RULES` in order. After each rule that acts,
 //! evaluation starts again from the first rule, and it ends when no rule acts. Actions are calls to the
 //! [`Host`] passed with the event. `docs/design.md` lists the parts of the controller taken from the paper,
@@ -10,6 +10,7 @@
 
 mod conditions;
 mod events;
+mod lingering_runs;
 mod rules;
 
 pub use crate::regulator::CONTROL_PERIOD;
@@ -25,6 +26,7 @@
 use crate::idempotency::IdempotencyKeys;
 use crate::idle_connections::IdleConnections;
 use crate::invocations::{Invocation, Invocations};
+use crate::lingering::RunnableBound;
 use crate::memory_limit::MemoryLimit;
 use crate::operation_times::OperationTimes;
 use crate::reading::Reading;
@@ -56,6 +58,10 @@
     memory: MemoryLimit,
     calls: DownstreamCalls,
     health: Health,
+    runnable_bound: RunnableBound,
+    /// Number of runs on the cores that began to linger in the present control period, because a command to
+    /// stop them was not confirmed.
+    stopped_in_period: f64,
     draining: Draining,
     advertised: AdvertisedLoad,
     idle_connections: IdleConnections,
@@ -116,6 +122,8 @@
             memory: MemoryLimit::new(deployment.memory_kb),
             calls: DownstreamCalls::new(&deployment, started_at),
             health: Health::new(started_at),
+            runnable_bound: RunnableBound::default(),
+            stopped_in_period: 0.0,
             draining: Draining::new(&deployment),
             advertised: AdvertisedLoad::default(),
             idle_connections: IdleConnections::new(deployment.idle_timeout_max, deployment.callers),
--- a/crates/overload-control/src/controller/conditions.rs
+++ b/crates/overload-control/src/controller/conditions.rs
@@ -5,7 +5,7 @@
 use crate::downstream_calls::OpenCalls;
 use crate::invocations::{Invocation, InvocationState};
 use crate::regulator::CONTROL_PERIOD;
-use crate::scheduling::RunLimits;
+use crate::scheduling::{RunLimits, RunsInProgress};
 use crate::{Effect, Nanos};
 
 /// Time after which an unconfirmed run counts as lost, as a multiple of the usual time of its operation's
@@ -17,6 +17,8 @@
 pub struct RunCounts {
     /// Number of runs that are expected to be on the cores.
     pub running: f64,
+    /// Maximum number of runs that may be on the cores. Runs whose end would not be reported are included.
+    pub possible: f64,
     /// Number of open runs. An open run is on a core, waits to make a downstream call, or has a downstream
     /// call in progress.
     pub open: f64,
@@ -33,6 +35,7 @@
     pub fn run_counts(&self) -> RunCounts {
         RunCounts {
             running: self.running(),
+            possible: self.possibly_running(),
             open: self.open_runs(),
             limit: self.concurrency.get(),
             survivable: self.concurrency.survivable(self.now),
@@ -64,12 +67,24 @@
         invocation.state_since + (usual_ns * PRESUMED_LOST_RATIO) as Nanos
     }
 
+    /// Maximum number of runs that may be on the cores: nothing has excluded that they are there.
+    fn possibly_running(&self) -> f64 {
+        let states = [InvocationState::Running, InvocationState::Unconfirmed, InvocationState::Lingering];
+        self.invocations.count(&states)
+    }
+
+    /// Returns the runs by which the limits decide whether another run may start.
+    pub(super) fn runs_in_progress(&self) -> RunsInProgress {
+        RunsInProgress { running: self.running(), possible: self.possibly_running(), open: self.open_runs() }
+    }
+
     /// Number of open runs. An open run is on a core, waits to make a downstream call, or has a downstream
-    /// call in progress. Unconfirmed runs are included, because any of them may be open.
+    /// call in progress. Unconfirmed and lingering runs are included, because any of them may be open.
     pub(super) fn open_runs(&self) -> f64 {
         let states = [
             InvocationState::Running,
             InvocationState::Unconfirmed,
+            InvocationState::Lingering,
             InvocationState::AwaitingCall,
             InvocationState::Calling,
         ];
@@ -91,6 +106,7 @@
         RunLimits {
             concurrency: self.concurrency.get(),
             survivable: self.concurrency.survivable(self.now),
+            collapse: self.concurrency.collapse(self.now),
             reading_threads: self.reading.threads(),
             cores: self.deployment.cores,
             is_downstream_tier: self.deployment.is_downstream_tier,
--- a/crates/overload-control/src/controller/events.rs
+++ b/crates/overload-control/src/controller/events.rs
@@ -5,6 +5,7 @@
 use crate::deadline::Deadlines;
 use crate::downstream_calls::DownstreamCalls;
 use crate::invocations::{Invocation, InvocationState};
+use crate::lingering::StopEvidence;
 use crate::regulator::Shedding;
 use crate::{Arrival, Gauges, Host, Nanos, Outcome, log_lines};
 
@@ -49,26 +50,29 @@
 
     fn finish_run(&mut self, key: usize, outcome: Outcome, host: &mut dyn Host) {
         let state = self.invocations[key].state();
-        if state == InvocationState::Calling {
-            // The run ended while its downstream call was in progress, so the outcome of the call is unknown.
-            let duration = self.now - self.invocations[key].state_since;
-            self.calls.refund(self.invocations[key].call_timeout, duration, Outcome::Unknown);
-        }
+        self.refund_open_call(key);
         self.enter(key, InvocationState::Pending);
-        self.invocations[key].stopping = false;
+        self.invocations[key].stop = StopEvidence::default();
         if state == InvocationState::Unconfirmed && outcome == Outcome::Cancelled {
             // The run was lost. The time spent waiting for news of it is no core time.
             self.invocations[key].core_time = 0;
         }
         let invocation = &self.invocations[key];
         let has_ended = matches!(outcome, Outcome::Succeeded | Outcome::Failed);
+        let started = invocation.run_started;
         if has_ended && state != InvocationState::Replaying {
             self.health.observe_run(self.now, outcome == Outcome::Failed);
-            if outcome == Outcome::Succeeded {
+            self.health.observe_progress(self.now);
+            // The core time of a lingering run is not known.
+            if outcome == Outcome::Succeeded && state != InvocationState::Lingering {
                 let elapsed = self.now - invocation.run_started;
                 self.times.observe(self.now, invocation.operation, invocation.core_time, elapsed);
             }
         }
+        if has_ended && state != InvocationState::Replaying {
+            self.observe_successor(started);
+        }
+        let invocation = &self.invocations[key];
         if has_ended || invocation.answered {
             self.remove(key);
         } else if invocation.has_run && !self.is_idempotent(invocation) {
@@ -80,22 +84,32 @@
 
     /// Handles a run that may have been lost, because the command that started or resumed it may have been
     /// lost. The host keeps waiting for news of the run. An unconfirmed run does not count as stalled, since
-    /// it may not exist.
+    /// it may not exist. If the invocation was answered, the run lingers.
     pub fn on_run_unconfirmed(&mut self, now: Nanos, id: u64, host: &mut dyn Host) {
         self.advance(now);
         if let Some(key) = self.invocations.find(id)
             && self.invocations[key].state() == InvocationState::Running
         {
-            self.enter(key, InvocationState::Unconfirmed);
+            if self.invocations[key].answered {
+                self.linger_after_loss(key);
+            } else {
+                self.enter(key, InvocationState::Unconfirmed);
+            }
         }
         self.apply_rules(host);
     }
 
     /// Handles a run that needs to make its downstream call and waits until the controller permits the call.
+    /// The run of an answered invocation that was told to stop lingers until it is told again.
     pub fn on_call_needed(&mut self, now: Nanos, id: u64, host: &mut dyn Host) {
         self.advance(now);
         if let Some(key) = self.invocations.find(id) {
-            self.enter(key, InvocationState::AwaitingCall);
+            if self.is_told_to_stop(key) {
+                self.health.observe_progress(now);
+                self.linger(key);
+            } else {
+                self.enter(key, InvocationState::AwaitingCall);
+            }
         }
         self.apply_rules(host);
     }
@@ -169,6 +183,7 @@
     }
 
     fn start_control_period(&mut self, gauges: Gauges, host: &mut dyn Host) {
+        self.review_stopped_runs(gauges.runnable, host);
         let (running, cores) = (self.running(), self.deployment.cores);
         let other_threads = gauges.runnable.unwrap_or(0.0) - running;
         self.reading.observe_threads(self.now, other_threads.clamp(0.0, cores));
--- a/crates/overload-control/src/controller/rules.rs
+++ b/crates/overload-control/src/controller/rules.rs
@@ -5,9 +5,10 @@
 use crate::deadline::latest_start;
 use crate::downstream_calls::Attempt;
 use crate::invocations::InvocationState;
+use crate::lingering::StopEvidence;
 use crate::regulator::CONTROL_PERIOD;
 use crate::tenant_quota::RetryAdvice;
-use crate::{Effect, Host, Nanos, Preemption, log_lines};
+use crate::{Host, Nanos, Preemption, log_lines};
 use meadowstream_pending_queue::Capacity;
 
 impl Controller {
@@ -23,20 +24,13 @@
         Some(())
     }
 
-    /// Rule: stops a run whose answer is no longer needed, if the host can stop runs. A run with an
-    /// idempotency key is not stopped, because repeats with its key would then fail for the rest of the
-    /// idempotency window.
+    /// Rule: stops a run whose answer is no longer needed, if the host can stop runs.
     pub(super) fn stop_abandoned_runs(&mut self, host: &mut dyn Host) -> Option<()> {
         if self.deployment.preemption == Preemption::Unsupported {
             return None;
         }
-        let key = self.invocations.first_active(|invocation| {
-            invocation.answered
-                && !invocation.stopping
-                && invocation.state() == InvocationState::Running
-                && self.effect(invocation) != Effect::IdempotentWithKey
-        })?;
-        self.invocations[key].stopping = true;
+        let key = self.invocations.first_active(|invocation| self.needs_stop(invocation))?;
+        self.invocations[key].stop.record_sent(self.now);
         host.stop_run(self.invocations[key].id);
         Some(())
     }
@@ -52,11 +46,11 @@
         }
         let key = self.invocations.first_active(|invocation| {
             invocation.state() == InvocationState::Unconfirmed
-                && !invocation.stopping
+                && invocation.stop.is_due()
                 && self.is_idempotent(invocation)
                 && self.now >= self.presumed_lost_at(invocation)
         })?;
-        self.invocations[key].stopping = true;
+        self.invocations[key].stop.record_sent(self.now);
         host.stop_run(self.invocations[key].id);
         Some(())
     }
@@ -107,7 +101,7 @@
     /// of its rank that run before it. The rule rejects the candidate with the lowest priority.
     pub(super) fn reject_for_deadlines(&mut self, host: &mut dyn Host) -> Option<()> {
         let concurrency_limit = self.concurrency.get();
-        let free_slots = (concurrency_limit - self.running()).floor().max(0.0) as usize;
+        let free_slots = self.run_limits().free_slots(&self.runs_in_progress()) as usize;
         let capacity = Capacity { usual_times: self.times.usual(), concurrency_limit, free_slots };
         let key = self.invocations.pending.to_reject_for_deadlines(self.now, &capacity)?;
         self.answer(key, CONTROL_PERIOD, host);
@@ -189,7 +183,7 @@
         };
         let key = next?.key;
         let memory_kb = self.memory_needed_kb() + self.invocations.memory_kb_to_run(key);
-        if self.memory.is_exceeded(memory_kb) || !self.run_limits().admit(self.running(), self.open_runs()) {
+        if self.memory.is_exceeded(memory_kb) || !self.run_limits().admit(&self.runs_in_progress()) {
             return None;
         }
         let invocation = &mut self.invocations[key];
@@ -251,7 +245,8 @@
         if matches!(previous, InvocationState::Running | InvocationState::Unconfirmed) {
             invocation.core_time += self.now - invocation.state_since;
         }
-        if previous == InvocationState::Running && state != InvocationState::Unconfirmed {
+        let has_left_cores = matches!(state, InvocationState::Pending | InvocationState::AwaitingCall);
+        if previous == InvocationState::Running && has_left_cores {
             self.health.observe_progress(self.now);
         }
         self.invocations.enter(key, state, self.now);
@@ -315,19 +310,17 @@
     }
 
     /// Marks an invocation as answered and removes it. If its run or downstream call is in progress, the
-    /// invocation is kept until the run or call ends. An unconfirmed run is not kept, because news of it may
-    /// never come; the host stops it.
+    /// invocation is kept until the run or call ends. An unconfirmed run lingers, because news of it may never
+    /// come; the host tells it to stop.
     pub(super) fn close(&mut self, key: usize, host: &mut dyn Host) {
         let effect = self.effect(&self.invocations[key]);
         self.keys.forget_unless_run(&self.invocations[key], effect, host);
         let invocation = &mut self.invocations[key];
-        (invocation.answered, invocation.stopping) = (true, false);
-        let has_no_end = matches!(
-            invocation.state(),
-            InvocationState::Pending | InvocationState::Replaying | InvocationState::Unconfirmed
-        );
-        if has_no_end {
-            self.remove(key);
+        (invocation.answered, invocation.stop) = (true, StopEvidence::default());
+        match invocation.state() {
+            InvocationState::Pending | InvocationState::Replaying => self.remove(key),
+            InvocationState::Unconfirmed => self.linger_after_loss(key),
+            _ => {}
         }
     }
 
--- a/crates/overload-control/src/health.rs
+++ b/crates/overload-control/src/health.rs
@@ -46,6 +46,11 @@
         self.last_progress = now;
     }
 
+    /// Returns the time at which a run most recently left the cores.
+    pub fn last_progress(&self) -> Nanos {
+        self.last_progress
+    }
+
     /// Returns the share of arrivals to reject because the server is unhealthy. The share is 0 for a healthy
     /// server, 1 for a stalled server, and otherwise the share of failing runs up to a maximum. Without
     /// rejections, a server whose runs fail immediately would appear idle and attract more arrivals.
--- a/crates/overload-control/src/invocations.rs
+++ b/crates/overload-control/src/invocations.rs
@@ -4,6 +4,7 @@
 //! an invocation's state also updates the counts by state and the memory use.
 
 use crate::deadline::Deadlines;
+use crate::lingering::StopEvidence;
 use crate::{Arrival, Nanos};
 use meadowstream_fair_queueing::Admission as FairAdmission;
 use meadowstream_pending_queue::{ArrivalKey, Entry, PendingQueue};
@@ -22,6 +23,9 @@
     /// The command that started or resumed the run may have been lost. The run may be on the cores, may wait
     /// for a lost reply, or may not exist.
     Unconfirmed,
+    /// The invocation was answered, and nothing reports the end of its run. The run may be on the cores until
+    /// evidence excludes it.
+    Lingering,
     /// The run waits to make a downstream call.
     AwaitingCall,
     /// The run's downstream call is in progress.
@@ -31,7 +35,7 @@
     Replaying,
 }
 
-const STATES: usize = 6;
+const STATES: usize = 7;
 
 /// One request for an operation.
 #[derive(Clone, Debug, Default)]
@@ -70,8 +74,8 @@
     pub has_run: bool,
     /// Whether the invocation needs no answer any more, because it was answered or cancelled.
     pub answered: bool,
-    /// Whether the controller has instructed the host to stop the run.
-    pub stopping: bool,
+    /// Evidence from the commands to stop the run.
+    pub stop: StopEvidence,
     /// Whether the arrival was checked against the refusal window of its rank. Also true if the invocation is
     /// exempt from this check.
     pub screened: bool,
@@ -250,6 +254,12 @@
         self.active.values().map(|key| (*key, &self.all[*key]))
     }
 
+    /// Returns the keys of the invocations that satisfy `condition` among those that are not pending, in order
+    /// of arrival.
+    pub fn keys_where(&self, condition: impl Fn(&Invocation) -> bool) -> Vec<usize> {
+        self.active().filter(|(_, invocation)| condition(invocation)).map(|(key, _)| key).collect()
+    }
+
     /// Returns the key of the earliest arrival that satisfies `condition` among the invocations that are not
     /// pending.
     pub fn first_active(&self, condition: impl Fn(&Invocation) -> bool) -> Option<usize> {
--- a/crates/overload-control/src/lib.rs
+++ b/crates/overload-control/src/lib.rs
@@ -24,6 +24,7 @@
 mod invocations;
 mod largest;
 mod linear_quadratic;
+mod lingering;
 mod log_lines;
 mod memory_limit;
 mod operation_times;
@@ -44,6 +45,13 @@
     fn start_run(&mut self, invocation: u64);
     /// Stops a run that is in progress, because its answer is no longer needed.
     fn stop_run(&mut self, invocation: u64);
+    /// Starts a run again that may have been lost. If the run is on the cores after all, the command has no
+    /// effect. Called only for operations that are idempotent.
+    fn restart_run(&mut self, _invocation: u64) {}
+    /// Ends the wait for the end of a run that evidence has excluded. The invocation was answered. Called only
+    /// for runs that the host has reported as unconfirmed, or whose stop command it has reported as
+    /// unconfirmed.
+    fn abandon_run(&mut self, _invocation: u64) {}
     /// Rejects an invocation that the caller may safely repeat. An invocation that is not idempotent is
     /// rejected only if it certainly had no effect. The caller should wait for `retry_after` before it
     /// retries at this server; 0 gives no advice.
--- a/crates/overload-control/src/scheduling.rs
+++ b/crates/overload-control/src/scheduling.rs
@@ -3,6 +3,32 @@
 /// Maximum reduction of the concurrency limit, as a share of the server's cores. The limit is reduced by the
 /// number of cores that reading arrivals uses.
 const READING_SHARE_MAX: f64 = 0.25;
+/// Maximum number of runs that may be on the cores beyond the concurrency limit, as a share of the server's
+/// cores. Runs that were lost with a link must not keep the places of others.
+const POSSIBLE_SHARE: f64 = 1.0;
+/// Maximum number of open runs while nothing but lingering runs is open, as a share of the number beyond
+/// which the server collapses.
+const PROBE_SHARE: f64 = 0.9;
+
+/// Runs that are in progress, or that may be.
+pub struct RunsInProgress {
+    /// Number of runs that are expected to be on the cores.
+    pub running: f64,
+    /// Maximum number of runs that may be on the cores: nothing has excluded that they are there.
+    ///
+    /// Invariant: `running <= possible <= open`.
+    pub possible: f64,
+    /// Number of open runs: `possible`, and the runs that wait to make a downstream call or have a downstream
+    /// call in progress.
+    pub open: f64,
+}
+
+impl RunsInProgress {
+    /// Whether every open run is one whose end will probably not be reported.
+    fn are_all_unaccounted(&self) -> bool {
+        self.running == 0.0 && self.open > 0.0 && self.open == self.possible
+    }
+}
 
 /// Limits on the concurrent runs of a server.
 pub struct RunLimits {
@@ -11,6 +37,8 @@
     /// Maximum number of open runs. An open run is on a core, waits to make a downstream call, or has a
     /// downstream call in progress.
     pub survivable: f64,
+    /// Number of open runs beyond which the server collapses.
+    pub collapse: f64,
     /// Number of cores that the reading of arrivals uses.
     pub reading_threads: f64,
     /// Number of cores of the server.
@@ -22,12 +50,36 @@
 }
 
 impl RunLimits {
-    /// Whether another run may start. `running` is the number of runs on the cores. `open` also counts the
-    /// runs that wait to make a downstream call or have a downstream call in progress.
-    pub fn admit(&self, running: f64, open: f64) -> bool {
+    /// Whether another run may start.
+    ///
+    /// If only runs are open whose end will probably not be reported, a single run may start beyond the other
+    /// limits. Its end shows that the cores move.
+    pub fn admit(&self, runs: &RunsInProgress) -> bool {
+        if runs.are_all_unaccounted() && runs.open + 1.0 <= self.collapse * PROBE_SHARE {
+            return true;
+        }
+        runs.running + 1.0 <= self.on_cores()
+            && runs.possible + 1.0 <= self.possible()
+            && runs.open + 1.0 <= self.survivable.max(1.0)
+    }
+
+    /// Returns how many more runs the limits on runs on the cores permit.
+    pub fn free_slots(&self, runs: &RunsInProgress) -> f64 {
+        let expected = self.concurrency - runs.running;
+        let possible = self.concurrency + self.cores * POSSIBLE_SHARE - runs.possible;
+        expected.min(possible).floor().max(0.0)
+    }
+
+    /// Returns the limit on runs that are expected to be on the cores.
+    fn on_cores(&self) -> f64 {
         let share_max = if self.is_downstream_tier { 0.0 } else { READING_SHARE_MAX };
         let reading = self.reading_threads.min(self.cores * share_max);
         let limit = (self.concurrency - reading).round();
-        running + 1.0 <= limit.min(self.survivable).max(1.0) && open + 1.0 <= self.survivable.max(1.0)
+        limit.min(self.survivable).max(1.0)
+    }
+
+    /// Returns the limit on runs that may be on the cores.
+    fn possible(&self) -> f64 {
+        self.on_cores() + (self.cores * POSSIBLE_SHARE).ceil()
     }
 }
--- a/crates/server/src/event_loop/actions.rs
+++ b/crates/server/src/event_loop/actions.rs
@@ -103,6 +103,15 @@
         self.set_timer_after(GAUGES_TIMEOUT_NS, Timer::GaugesOverdue { nonce });
     }
 
+    /// Sends the command that starts the run of an invocation.
+    pub fn send_start(&mut self, id: u64) {
+        let Some(invocation) = self.invocations.get(id) else { return };
+        run_log::begun(invocation);
+        let operation = &self.server.configuration.settings.operation_names[invocation.operation];
+        let line = interpreter::apply(invocation.reference, operation, &invocation.body);
+        self.send_for_run(id, RunCommand::Start, line);
+    }
+
     /// Sends a command that starts or resumes the run of an invocation. The command is stored until the
     /// interpreter is known to have received it.
     pub fn send_for_run(&mut self, id: u64, command: RunCommand, line: Vec<u8>) {
@@ -143,7 +152,7 @@
         }
         self.abandon_call(id);
         self.stop_run_awaiting_call(id);
-        self.end_lost_run(id);
+        self.give_up_lost_run(id);
         self.invocations.release(id);
     }
 
@@ -179,10 +188,13 @@
     /// Handles the end of a run. Answers the caller of the invocation, and all repeated calls that wait for
     /// the outcome of this run.
     pub fn run_ended(&mut self, id: u64, outcome: Outcome, result: Vec<u8>) {
-        self.server.counters.runs_ended.add();
         if let Some(invocation) = self.invocations.get(id) {
             run_log::ended(invocation, outcome);
             invocation.may_be_lost = false;
+            // The wait for the end of a lingering run was already counted as over.
+            if !invocation.lingers {
+                self.server.counters.runs_ended.add();
+            }
         }
         self.abandon_call(id);
         let result = Some(result).filter(|result| outcome == Outcome::Succeeded && result.len() <= WORD_MAX);
@@ -198,6 +210,7 @@
             invocation.is_running = false;
             invocation.unconfirmed = None;
             invocation.stop = None;
+            invocation.lingers = false;
         }
     }
 
--- a/crates/server/src/event_loop/host.rs
+++ b/crates/server/src/event_loop/host.rs
@@ -2,11 +2,9 @@
 //! executes it.
 
 use crate::event_loop::actions::{ActionExecutor, PromisedAdmission};
-use crate::event_loop::run_log::{self, StopCause};
+use crate::event_loop::run_log::StopCause;
 use crate::event_loop::timers::Timer;
 use crate::resources::idempotency::Replay;
-use crate::resources::invocations::RunCommand;
-use crate::wire::interpreter;
 use crate::wire::rpc::Answer;
 use meadowstream_overload_control::{Host, Nanos};
 use tracing::info;
@@ -15,11 +13,8 @@
     fn start_run(&mut self, id: u64) {
         let Some(invocation) = self.invocations.get(id) else { return };
         invocation.is_running = true;
-        run_log::begun(invocation);
-        let operation = &self.server.configuration.settings.operation_names[invocation.operation];
-        let line = interpreter::apply(invocation.reference, operation, &invocation.body);
         self.server.counters.runs_sent.add();
-        self.send_for_run(id, RunCommand::Start, line);
+        self.send_start(id);
     }
 
     fn stop_run(&mut self, id: u64) {
@@ -27,6 +22,14 @@
         self.stop(id, if is_answered { StopCause::Answered } else { StopCause::PresumedLost });
     }
 
+    fn restart_run(&mut self, id: u64) {
+        self.restart(id);
+    }
+
+    fn abandon_run(&mut self, id: u64) {
+        self.exclude(id);
+    }
+
     fn promise_admission(&mut self, invocation: u64, ticket: u64) {
         self.promised = Some(PromisedAdmission { invocation, ticket });
     }
--- a/crates/server/src/event_loop/link_recovery.rs
+++ b/crates/server/src/event_loop/link_recovery.rs
@@ -16,7 +16,7 @@
 /// What the controller must be told of a run after a link was lost.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum RecoveredRun {
-    /// The run of this invocation never began, or it is not needed and its end cannot be observed.
+    /// The run of this invocation never began.
     Ended(u64),
     /// The last command of this invocation's run may have been lost. No notice of the run may ever come.
     Unconfirmed(u64),
@@ -31,8 +31,10 @@
     Stop,
     /// The command is given up. A notice of the run is waited for.
     AwaitNotice,
-    /// The run is treated as over.
+    /// The command was never written, and the run is not needed. The run is over.
     EndRun,
+    /// The run is not needed and cannot be stopped. A notice of it may never come.
+    GiveUp,
     /// The command was received, or the command to stop the run is sent again, which suffices.
     Nothing,
 }
@@ -40,7 +42,9 @@
 /// Decides about the last command of a run whose link was lost. `can_stop` states whether the settings permit
 /// the server to stop runs.
 fn decide(invocation: &Invocation, effect: Effect, can_stop: bool) -> Decision {
-    let Some(sent) = &invocation.unconfirmed else { return Decision::Nothing };
+    let Some(sent) = invocation.unconfirmed.as_ref().filter(|_| !invocation.lingers) else {
+        return Decision::Nothing;
+    };
     // The result of a run that is idempotent with a key may still answer repeated calls.
     let is_needed = !invocation.is_answered || effect == Effect::IdempotentWithKey;
     match (sent.delivery, sent.command) {
@@ -48,7 +52,7 @@
         (Delivery::NotReceived, RunCommand::Start) if !is_needed => Decision::EndRun,
         (Delivery::NotReceived, _) if invocation.stop.is_some() => Decision::Nothing,
         (Delivery::NotReceived, _) => Decision::SendAgain,
-        (Delivery::Unknown, _) if invocation.is_answered && !can_stop => Decision::EndRun,
+        (Delivery::Unknown, _) if invocation.is_answered && !can_stop => Decision::GiveUp,
         (Delivery::Unknown, _) if invocation.stop.is_some() => Decision::Nothing,
         (Delivery::Unknown, _) if invocation.is_answered => Decision::Stop,
         (Delivery::Unknown, RunCommand::Start) if effect == Effect::Idempotent => Decision::SendAgain,
@@ -81,6 +85,11 @@
                     recovered.push(RecoveredRun::Unconfirmed(id));
                 }
                 Decision::EndRun => recovered.push(RecoveredRun::Ended(id)),
+                Decision::GiveUp => {
+                    self.await_notice(id);
+                    self.give_up_lost_run(id);
+                    recovered.push(RecoveredRun::Unconfirmed(id));
+                }
                 Decision::Nothing => {}
             }
         }
@@ -97,13 +106,16 @@
         for id in self.invocations.running() {
             let Some(invocation) = self.invocations.get(id) else { continue };
             // The fate of a run with an unconfirmed command is decided at the end of the replay.
-            if invocation.unconfirmed.is_some() || invocation.stop.is_some() || invocation.may_be_lost {
+            let is_decided_otherwise = invocation.unconfirmed.is_some() || invocation.stop.is_some();
+            if is_decided_otherwise || invocation.may_be_lost || invocation.lingers {
                 continue;
             }
             if invocation.is_answered && can_stop {
                 self.stop(id, StopCause::NoticesMissed);
             } else if invocation.is_answered {
-                recovered.push(RecoveredRun::Ended(id));
+                self.await_notice(id);
+                self.give_up_lost_run(id);
+                recovered.push(RecoveredRun::Unconfirmed(id));
             } else if !invocation.awaits_call {
                 self.await_notice(id);
                 recovered.push(RecoveredRun::Unconfirmed(id));
@@ -145,10 +157,13 @@
     }
 
     /// Sends commands to stop runs again if their link was lost. A second such command does no harm: while
-    /// the end of the run is not read, no new run of the invocation is started.
+    /// the end of the run is not read, no new run of the invocation is started. The controller decides when a
+    /// lingering run is told again to stop.
     fn send_stops_again(&mut self) {
         for id in self.invocations.stopping(|delivery| !matches!(delivery, Delivery::Sent(_))) {
-            let Some(invocation) = self.invocations.get(id) else { continue };
+            let Some(invocation) = self.invocations.get(id).filter(|invocation| !invocation.lingers) else {
+                continue;
+            };
             let line = interpreter::stop(invocation.reference);
             self.server.counters.commands_sent_again.add();
             let delivery = self.send(line);
@@ -168,25 +183,46 @@
         let now = self.server.clock.now();
         for id in self.invocations.running() {
             let Some(invocation) = self.invocations.get(id) else { continue };
-            let may_be_stopped = invocation.is_answered && invocation.stop.is_none();
+            let may_be_stopped = invocation.is_answered && invocation.stop.is_none() && !invocation.lingers;
             if may_be_stopped && self.idempotency.has_expired(id, now) {
                 self.stop(id, StopCause::KeyExpired);
             }
         }
     }
 
-    /// Returns the ids of the invocations whose runs are certainly over, because the interpreter has received
-    /// the command to stop them. The notice of the end came before, unless it was lost or the run never
-    /// existed.
-    pub fn stopped_runs(&self) -> Vec<u64> {
-        self.invocations.stopping(
-            |delivery| matches!(delivery, Delivery::Sent(position) if self.session.is_received(position)),
-        )
+    /// Takes the commands to stop runs whose receipt is shown and whose runs were not reported to have ended.
+    /// Returns the ids of their invocations. If the interpreter carries out a command, it reports the end of
+    /// the run before it answers a later gauge request. While the cores stand still, it stops nothing.
+    pub fn take_unconfirmed_stops(&mut self) -> Vec<u64> {
+        let session = &self.session;
+        let is_received =
+            |delivery| matches!(delivery, Delivery::Sent(position) if session.is_received(position));
+        let received = self.invocations.stopping(is_received);
+        for id in &received {
+            let Some(invocation) = self.invocations.get(*id) else { continue };
+            invocation.stop = None;
+            run_log::stop_unconfirmed(invocation);
+            if invocation.is_answered && !invocation.lingers {
+                self.server.counters.runs_ended.add();
+                self.linger(*id);
+            }
+        }
+        received
     }
 
-    /// Ends the run of a closed invocation if the run's last command may have been lost. No notice of the run
-    /// may ever come, so the run must not be waited for. Repeated calls that wait for the outcome fail.
-    pub fn end_lost_run(&mut self, id: u64) {
+    /// Starts a run again that may have been lost. The interpreter ignores the command for a run that is on
+    /// the cores.
+    pub fn restart(&mut self, id: u64) {
+        let Some(invocation) = self.invocations.get(id) else { return };
+        invocation.may_be_lost = false;
+        invocation.awaits_call = false;
+        self.server.counters.commands_sent_again.add();
+        self.send_start(id);
+    }
+
+    /// Gives up waiting for the end of a closed invocation's run if the run's last command may have been
+    /// lost, and tells the run to stop. No notice of the run may ever come. Repeated calls that wait for the outcome fail.
+    pub fn give_up_lost_run(&mut self, id: u64) {
         let is_lost = |invocation: &&mut Invocation| invocation.may_be_lost && invocation.is_running;
         let Some(invocation) = self.invocations.get(id).filter(is_lost) else { return };
         run_log::given_up(invocation);
@@ -194,14 +230,33 @@
         if self.can_stop_runs() {
             self.stop(id, StopCause::Answered);
         }
-        if let Some(invocation) = self.invocations.get(id) {
-            invocation.is_running = false;
-        }
+        self.linger(id);
+    }
+
+    /// Keeps the run of an answered invocation in the table, although no report of its end is expected: the
+    /// run may be on the cores. Repeated calls that wait for its outcome fail.
+    fn linger(&mut self, id: u64) {
+        let Some(invocation) = self.invocations.get(id) else { return };
+        invocation.lingers = true;
+        invocation.may_be_lost = false;
+        invocation.unconfirmed = None;
+        (invocation.body, invocation.call_body) = Default::default();
         for repeat in self.idempotency.run_ended(id, None) {
             self.answer_repeat(repeat, None);
         }
     }
 
+    /// Removes an invocation whose lingering run is excluded by evidence.
+    pub fn exclude(&mut self, id: u64) {
+        let Some(invocation) = self.invocations.get(id) else { return };
+        run_log::excluded(invocation);
+        invocation.is_running = false;
+        if !invocation.lingers {
+            self.server.counters.runs_ended.add();
+        }
+        self.invocations.release(id);
+    }
+
     /// Returns whether the settings permit the server to stop runs.
     fn can_stop_runs(&self) -> bool {
         self.server.configuration.settings.deployment.preemption != Preemption::Unsupported
--- a/crates/server/src/event_loop/mod.rs
+++ b/crates/server/src/event_loop/mod.rs
@@ -269,8 +269,8 @@
 
     fn handle_gauges(&mut self, nonce: u64, readings: &[f64]) {
         self.actions.session.record_receipt(nonce);
-        for id in self.actions.stopped_runs() {
-            self.handle_run_end(id, Outcome::Cancelled, Vec::new());
+        for id in self.actions.take_unconfirmed_stops() {
+            self.with_controller(|controller, now, actions| controller.on_stop_unconfirmed(now, id, actions));
         }
         if self.actions.session.end_replay(nonce) {
             let runs = self.actions.recover_runs();
@@ -300,7 +300,13 @@
     fn handle_recovered_runs(&mut self, runs: Vec<RecoveredRun>) {
         for run in runs {
             match run {
-                RecoveredRun::Ended(id) => self.handle_run_end(id, Outcome::Cancelled, Vec::new()),
+                RecoveredRun::Ended(id) => {
+                    // A run that never began is no progress on the cores.
+                    self.with_controller(|controller, now, actions| {
+                        controller.on_run_unconfirmed(now, id, actions);
+                    });
+                    self.handle_run_end(id, Outcome::Cancelled, Vec::new());
+                }
                 RecoveredRun::Unconfirmed(id) => {
                     self.with_controller(|controller, now, actions| {
                         controller.on_run_unconfirmed(now, id, actions);
--- a/crates/server/src/event_loop/run_log.rs
+++ b/crates/server/src/event_loop/run_log.rs
@@ -57,14 +57,24 @@
     debug!(reference = reference(invocation), ?outcome, answered, "run ended");
 }
 
-/// Logs that a run is given up, because no notice of it may ever come.
+/// Logs that a run is given up, because no notice of it may ever come. It may still be on the cores.
 pub fn given_up(invocation: &Invocation) {
     debug!(reference = reference(invocation), "run given up");
 }
 
+/// Logs that a command to stop a run was received, and that no end of the run was reported.
+pub fn stop_unconfirmed(invocation: &Invocation) {
+    debug!(reference = reference(invocation), "stop of a run not confirmed");
+}
+
+/// Logs that a run is no longer counted as one that may be on the cores, because evidence has excluded it.
+pub fn excluded(invocation: &Invocation) {
+    debug!(reference = reference(invocation), "run excluded");
+}
+
 /// Logs the gauges of a control period and the counts by which the controller admits further runs.
 pub fn control_period(gauges: Gauges, counts: &RunCounts) {
-    let RunCounts { running, open, limit, survivable, pending } = *counts;
+    let RunCounts { running, possible, open, limit, survivable, pending } = *counts;
     let Gauges { utilization, runnable } = gauges;
-    debug!(running, open, limit, survivable, pending, utilization, runnable, "control period");
+    debug!(running, possible, open, limit, survivable, pending, utilization, runnable, "control period");
 }
--- a/crates/server/src/resources/idempotency.rs
+++ b/crates/server/src/resources/idempotency.rs
@@ -200,11 +200,12 @@
 
     /// Records that the run of an invocation has ended. `result` is `None` if the run did not succeed or its
     /// result is too long to be stored. Returns the ids of the repeated calls that were waiting for the
-    /// invocation's outcome.
+    /// invocation's outcome. The first outcome of an invocation is final.
     pub fn run_ended(&mut self, invocation: u64, result: Option<&[u8]>) -> Vec<u64> {
         let Some(entry) = self.entries.get_mut(&invocation) else { return Vec::new() };
-        let state = result.map_or(EntryState::Failed, |result| EntryState::Succeeded(result.to_vec()));
-        let EntryState::Open(waiting) = std::mem::replace(&mut entry.state, state) else { return Vec::new() };
+        let EntryState::Open(waiting) = &mut entry.state else { return Vec::new() };
+        let waiting = std::mem::take(waiting);
+        entry.state = result.map_or(EntryState::Failed, |result| EntryState::Succeeded(result.to_vec()));
         if let Some(result) = result {
             self.result_bytes += result.len();
             self.results.push_back(invocation);
--- a/crates/server/src/resources/invocations.rs
+++ b/crates/server/src/resources/invocations.rs
@@ -40,8 +40,12 @@
     /// True if the last command that started or resumed the run may have been lost and is not sent again. No
     /// notice of the run may ever come.
     pub may_be_lost: bool,
-    /// Delivery of the command to stop the run. `None` if no such command was sent.
+    /// Delivery of the command to stop the run. `None` if no such command was sent, and once its receipt was
+    /// reported to the controller.
     pub stop: Option<Delivery>,
+    /// True if the invocation was answered and nothing will report the end of its run. The run may still be on
+    /// the cores.
+    pub lingers: bool,
     /// Body of the downstream call for which the run waits. Emptied when the run resumes.
     pub call_body: Vec<u8>,
     /// True while the run of the invocation waits for the reply to a downstream call.
@@ -69,6 +73,7 @@
             unconfirmed: None,
             may_be_lost: false,
             stop: None,
+            lingers: false,
             call_body: Vec::new(),
             awaits_call: false,
             call: None,
@@ -178,6 +183,7 @@
     }
 
     /// Returns the ids of all running invocations whose command to stop the run satisfies `condition`.
+    /// Lingering runs are included.
     pub fn stopping(&self, condition: impl Fn(Delivery) -> bool) -> Vec<u64> {
         let is_stopping =
             |invocation: &Invocation| invocation.is_running && invocation.stop.is_some_and(&condition);
