Cores that stand still are admitted less to, from the first control period without progress on

Cause: with cores that stand still the gauge of utilization may read anything, and the learned limit grew where it read less than the target; runs in hand were all that held starts back, until six usual times without progress made the server refuse.

Change: StandstillDetector (standstill.rs). A control period in which runs were on the cores and none left them does not raise the learned limit. After two usual times, one control period at least, the limit is the number of cores and nothing may start beyond it, until a run leaves the cores; where only lingering runs are open, one start in four periods. Log lines `cores stand still`, `cores move again`. Before the first run has ended its usual time is not known and nothing is detected.

--- a/crates/overload-control/src/concurrency_limit.rs
+++ b/crates/overload-control/src/concurrency_limit.rs
@@ -43,6 +43,10 @@
     pub running: f64,
     /// Whether concurrent runs slow each other down, so that each run uses more core time.
     pub are_runs_slowed: bool,
+    /// Whether runs were on the cores for the whole of the last control period and none left them.
+    pub lacks_progress: bool,
+    /// Whether the cores stand still.
+    pub are_cores_standing_still: bool,
     /// Utilization of the cores during the last control period, from 0 to 1.
     pub utilization: f64,
     /// Target utilization of the cores, from 0 to 1.
@@ -92,11 +96,15 @@
     ///
     /// The limit grows if runs reach it while the cores are below their target utilization: the runs then
     /// wait for something other than a core. If the limit does not grow, it shrinks in two cases: concurrent
-    /// runs slow each other down, or the cores are above their target utilization. The limit stays between
-    /// the number of cores and the maximum number of open runs.
+    /// runs slow each other down, or the cores are above their target utilization. Without progress on the
+    /// cores, the limit does not grow, because a low utilization may mean that they stand still. Once they do,
+    /// the limit is the number of cores. The limit stays between the number of cores and the maximum number
+    /// of open runs.
     pub fn adapt(&mut self, now: Nanos, load: &Load) {
-        let binds = load.is_queueing && load.running + 1.0 > self.limit;
-        if binds && load.utilization < load.target_utilization {
+        let binds = load.is_queueing && load.running + 1.0 > self.limit && !load.lacks_progress;
+        if load.are_cores_standing_still {
+            self.limit = self.cores;
+        } else if binds && load.utilization < load.target_utilization {
             self.limit *= GROWTH_RATIO;
         } else if load.are_runs_slowed || load.utilization > load.target_utilization {
             self.limit *= CUT_RATIO;
--- a/crates/overload-control/src/controller.rs
+++ b/crates/overload-control/src/controller.rs
@@ -32,6 +32,7 @@
 use crate::reading::Reading;
 use crate::regulator::Regulator;
 use crate::retries::Retries;
+use crate::standstill::StandstillDetector;
 use crate::tenant_quota::TenantQuotas;
 use crate::timers::Timers;
 use crate::{Deployment, Effect, Host, Nanos, Preemption};
@@ -58,10 +59,13 @@
     memory: MemoryLimit,
     calls: DownstreamCalls,
     health: Health,
+    standstill: StandstillDetector,
     runnable_bound: RunnableBound,
     /// Number of runs on the cores that began to linger in the present control period, because a command to
     /// stop them was not confirmed.
     stopped_in_period: f64,
+    /// Time at which a run was most recently started.
+    last_start: Nanos,
     draining: Draining,
     advertised: AdvertisedLoad,
     idle_connections: IdleConnections,
@@ -122,8 +126,10 @@
             memory: MemoryLimit::new(deployment.memory_kb),
             calls: DownstreamCalls::new(&deployment, started_at),
             health: Health::new(started_at),
+            standstill: StandstillDetector::default(),
             runnable_bound: RunnableBound::default(),
             stopped_in_period: 0.0,
+            last_start: started_at,
             draining: Draining::new(&deployment),
             advertised: AdvertisedLoad::default(),
             idle_connections: IdleConnections::new(deployment.idle_timeout_max, deployment.callers),
--- a/crates/overload-control/src/controller/conditions.rs
+++ b/crates/overload-control/src/controller/conditions.rs
@@ -107,6 +107,8 @@
             concurrency: self.concurrency.get(),
             survivable: self.concurrency.survivable(self.now),
             collapse: self.concurrency.collapse(self.now),
+            are_cores_standing_still: self.standstill.is_standing_still(),
+            since_last_start: self.now.saturating_sub(self.last_start),
             reading_threads: self.reading.threads(),
             cores: self.deployment.cores,
             is_downstream_tier: self.deployment.is_downstream_tier,
--- a/crates/overload-control/src/controller/events.rs
+++ b/crates/overload-control/src/controller/events.rs
@@ -7,6 +7,7 @@
 use crate::invocations::{Invocation, InvocationState};
 use crate::lingering::StopEvidence;
 use crate::regulator::Shedding;
+use crate::standstill::Standstill;
 use crate::{Arrival, Gauges, Host, Nanos, Outcome, log_lines};
 
 impl Controller {
@@ -183,6 +184,7 @@
     }
 
     fn start_control_period(&mut self, gauges: Gauges, host: &mut dyn Host) {
+        self.review_standstill(host);
         self.review_stopped_runs(gauges.runnable, host);
         let (running, cores) = (self.running(), self.deployment.cores);
         let other_threads = gauges.runnable.unwrap_or(0.0) - running;
@@ -192,6 +194,8 @@
             is_queueing: !self.invocations.pending.is_empty(),
             running,
             are_runs_slowed: self.times.are_slowed(),
+            lacks_progress: self.standstill.lacks_progress(),
+            are_cores_standing_still: self.standstill.is_standing_still(),
             utilization,
             target_utilization: self.deployment.target_utilization,
         };
@@ -206,6 +210,15 @@
         self.admission.start_period(self.now);
     }
 
+    fn review_standstill(&mut self, host: &mut dyn Host) {
+        let (oldest_run, longest) = (self.invocations.oldest_run(), self.times.longest_core_ns());
+        match self.standstill.review(self.now, oldest_run, self.health.last_progress(), longest) {
+            Some(Standstill::Began) => host.log(log_lines::STANDSTILL_BEGAN),
+            Some(Standstill::Ended) => host.log(log_lines::STANDSTILL_ENDED),
+            None => {}
+        }
+    }
+
     /// Runs one step of the regulator with the utilization of the cores. If downstream calls are saturated,
     /// the regulator receives a utilization of 1 instead.
     fn regulate(&mut self, cores_utilization: f64, host: &mut dyn Host) {
--- a/crates/overload-control/src/controller/lingering_runs.rs
+++ b/crates/overload-control/src/controller/lingering_runs.rs
@@ -88,13 +88,8 @@
     /// Reviews, once in a control period, the evidence on runs that were told to stop, and ends the wait for
     /// those that it excludes. `runnable` is the gauge of runnable threads.
     pub(super) fn review_stopped_runs(&mut self, runnable: Option<f64>, host: &mut dyn Host) {
-        let last_progress = self.health.last_progress();
-        if self.now.saturating_sub(last_progress) < CONTROL_PERIOD {
-            self.runnable_bound.observe_progress();
-        }
-        let is_stopped = |state| matches!(state, InvocationState::Running | InvocationState::Lingering);
-        for key in self.invocations.keys_where(|invocation| is_stopped(invocation.state())) {
-            self.invocations[key].stop.observe_progress(self.now, last_progress);
+        if let Some(last_progress) = self.health.last_progress() {
+            self.observe_progress_of_others(last_progress);
         }
         let preemption = self.deployment.preemption;
         for key in self.lingering() {
@@ -106,6 +101,16 @@
         self.stopped_in_period = 0.0;
     }
 
+    fn observe_progress_of_others(&mut self, last_progress: Nanos) {
+        if self.now.saturating_sub(last_progress) < CONTROL_PERIOD {
+            self.runnable_bound.observe_progress();
+        }
+        let is_stopped = |state| matches!(state, InvocationState::Running | InvocationState::Lingering);
+        for key in self.invocations.keys_where(|invocation| is_stopped(invocation.state())) {
+            self.invocations[key].stop.observe_progress(self.now, last_progress);
+        }
+    }
+
     /// Ends the wait for the oldest lingering runs if the gauge of runnable threads shows that fewer are on
     /// the cores.
     fn abandon_beyond_bound(&mut self, runnable: Option<f64>, host: &mut dyn Host) {
--- a/crates/overload-control/src/controller/rules.rs
+++ b/crates/overload-control/src/controller/rules.rs
@@ -190,6 +190,7 @@
         invocation.run_started = self.now;
         invocation.has_run = true;
         host.start_run(invocation.id);
+        self.last_start = self.now;
         self.quotas.on_run_started(invocation);
         self.enter(key, InvocationState::Running);
         Some(())
--- a/crates/overload-control/src/health.rs
+++ b/crates/overload-control/src/health.rs
@@ -22,8 +22,8 @@
     /// usual run times, so that failures are detected early. Until the failures are detected, a failing
     /// server continues to receive arrivals.
     failing: DecayingMean,
-    /// Time at which a run most recently left the cores.
-    last_progress: Nanos,
+    /// Time at which a run most recently left the cores; `None` before the first run has left them.
+    last_progress: Option<Nanos>,
     /// Whether the server was ready at the last report to health checks. A ready server is healthy and wants
     /// arrivals.
     is_ready: bool,
@@ -33,7 +33,7 @@
     /// Creates the health of a server whose runs have not failed.
     pub fn new(now: Nanos) -> Self {
         let failing = DecayingMean::new(TIMES_HALF_LIFE / 4, now);
-        Self { failing, last_progress: now, is_ready: true }
+        Self { failing, last_progress: None, is_ready: true }
     }
 
     /// Records the end of a run, and whether the run failed. Not called for a run that was stopped.
@@ -43,11 +43,12 @@
 
     /// Records that a run has left the cores, which is progress.
     pub fn observe_progress(&mut self, now: Nanos) {
-        self.last_progress = now;
+        self.last_progress = Some(now);
     }
 
-    /// Returns the time at which a run most recently left the cores.
-    pub fn last_progress(&self) -> Nanos {
+    /// Returns the time at which a run most recently left the cores; `None` before the first run has left
+    /// them.
+    pub fn last_progress(&self) -> Option<Nanos> {
         self.last_progress
     }
 
@@ -55,7 +56,8 @@
     /// server, 1 for a stalled server, and otherwise the share of failing runs up to a maximum. Without
     /// rejections, a server whose runs fail immediately would appear idle and attract more arrivals.
     pub fn unhealthy_ratio(&self, now: Nanos, oldest_run: Option<Nanos>, longest_core_ns: f64) -> f64 {
-        let time_without_progress = oldest_run.map_or(0, |since| now - since.max(self.last_progress));
+        let last_progress = self.last_progress.unwrap_or(0);
+        let time_without_progress = oldest_run.map_or(0, |since| now - since.max(last_progress));
         let has_seen_runs = self.failing.weight(now) > RUNS_MIN;
         let failing = if has_seen_runs { self.failing.mean() } else { 0.0 };
         if time_without_progress as f64 > longest_core_ns * STALL_RATIO {
--- a/crates/overload-control/src/lib.rs
+++ b/crates/overload-control/src/lib.rs
@@ -32,6 +32,7 @@
 mod regulator;
 mod retries;
 mod scheduling;
+mod standstill;
 mod tenant_quota;
 mod timers;
 
--- a/crates/overload-control/src/scheduling.rs
+++ b/crates/overload-control/src/scheduling.rs
@@ -1,5 +1,8 @@
 //! Decides whether another run may start. The decision depends on the limits on concurrent runs.
 
+use crate::Nanos;
+use crate::regulator::CONTROL_PERIOD;
+
 /// Maximum reduction of the concurrency limit, as a share of the server's cores. The limit is reduced by the
 /// number of cores that reading arrivals uses.
 const READING_SHARE_MAX: f64 = 0.25;
@@ -9,6 +12,8 @@
 /// Maximum number of open runs while nothing but lingering runs is open, as a share of the number beyond
 /// which the server collapses.
 const PROBE_SHARE: f64 = 0.9;
+/// Time after the most recent start of a run from which a run may start in this state.
+const PROBE_PERIOD: Nanos = CONTROL_PERIOD * 4;
 
 /// Runs that are in progress, or that may be.
 pub struct RunsInProgress {
@@ -39,6 +44,10 @@
     pub survivable: f64,
     /// Number of open runs beyond which the server collapses.
     pub collapse: f64,
+    /// Whether the cores stand still.
+    pub are_cores_standing_still: bool,
+    /// Time since a run was most recently started.
+    pub since_last_start: Nanos,
     /// Number of cores that the reading of arrivals uses.
     pub reading_threads: f64,
     /// Number of cores of the server.
@@ -55,7 +64,7 @@
     /// If only runs are open whose end will probably not be reported, a single run may start beyond the other
     /// limits. Its end shows that the cores move.
     pub fn admit(&self, runs: &RunsInProgress) -> bool {
-        if runs.are_all_unaccounted() && runs.open + 1.0 <= self.collapse * PROBE_SHARE {
+        if self.may_probe(runs) {
             return true;
         }
         runs.running + 1.0 <= self.on_cores()
@@ -66,7 +75,7 @@
     /// Returns how many more runs the limits on runs on the cores permit.
     pub fn free_slots(&self, runs: &RunsInProgress) -> f64 {
         let expected = self.concurrency - runs.running;
-        let possible = self.concurrency + self.cores * POSSIBLE_SHARE - runs.possible;
+        let possible = self.concurrency + self.beyond_limit() - runs.possible;
         expected.min(possible).floor().max(0.0)
     }
 
@@ -80,6 +89,17 @@
 
     /// Returns the limit on runs that may be on the cores.
     fn possible(&self) -> f64 {
-        self.on_cores() + (self.cores * POSSIBLE_SHARE).ceil()
+        self.on_cores() + self.beyond_limit()
+    }
+
+    /// Returns how many runs may be on the cores beyond the concurrency limit.
+    fn beyond_limit(&self) -> f64 {
+        if self.are_cores_standing_still { 0.0 } else { (self.cores * POSSIBLE_SHARE).ceil() }
+    }
+
+    fn may_probe(&self, runs: &RunsInProgress) -> bool {
+        runs.are_all_unaccounted()
+            && self.since_last_start >= PROBE_PERIOD
+            && runs.open + 1.0 <= self.collapse * PROBE_SHARE
     }
 }
