A run that resisted its BREAK shows a standstill, and is no thread that reads arrivals

With deadlines under a control period no run stays on the cores long enough to count as old, so the standstill was not detected: a run that was on the cores when a BREAK had no effect on it is certainly there, too. And what the gauge counted beyond the expected runs was taken for threads that read arrivals, so that for seconds after a standstill a quarter of the cores stayed unused: lingering runs are now taken off first.

--- a/crates/overload-control/src/controller/conditions.rs
+++ b/crates/overload-control/src/controller/conditions.rs
@@ -68,7 +68,7 @@
     }
 
     /// Maximum number of runs that may be on the cores: nothing has excluded that they are there.
-    fn possibly_running(&self) -> f64 {
+    pub(super) fn possibly_running(&self) -> f64 {
         let states = [InvocationState::Running, InvocationState::Unconfirmed, InvocationState::Lingering];
         self.invocations.count(&states)
     }
--- a/crates/overload-control/src/controller/events.rs
+++ b/crates/overload-control/src/controller/events.rs
@@ -187,7 +187,7 @@
         self.review_standstill(host);
         self.review_stopped_runs(gauges.runnable, host);
         let (running, cores) = (self.running(), self.deployment.cores);
-        let other_threads = gauges.runnable.unwrap_or(0.0) - running;
+        let other_threads = gauges.runnable.unwrap_or(0.0) - self.possibly_running();
         self.reading.observe_threads(self.now, other_threads.clamp(0.0, cores));
         let utilization = gauges.utilization.unwrap_or(running / cores).min(1.0);
         let load = Load {
@@ -211,7 +211,7 @@
     }
 
     fn review_standstill(&mut self, host: &mut dyn Host) {
-        let (oldest_run, longest) = (self.invocations.oldest_run(), self.times.longest_core_ns());
+        let (oldest_run, longest) = (self.oldest_certain_run(), self.times.longest_core_ns());
         match self.standstill.review(self.now, oldest_run, self.health.last_progress(), longest) {
             Some(Standstill::Began) => host.log(log_lines::STANDSTILL_BEGAN),
             Some(Standstill::Ended) => host.log(log_lines::STANDSTILL_ENDED),
--- a/crates/overload-control/src/controller/lingering_runs.rs
+++ b/crates/overload-control/src/controller/lingering_runs.rs
@@ -24,7 +24,10 @@
             InvocationState::Running | InvocationState::AwaitingCall | InvocationState::Calling
                 if invocation.answered =>
             {
-                self.stopped_in_period += f64::from(invocation.state() == InvocationState::Running);
+                if invocation.state() == InvocationState::Running {
+                    invocation.stop.record_resistance();
+                    self.stopped_in_period += 1.0;
+                }
                 self.linger(key);
             }
             _ => {}
@@ -137,6 +140,17 @@
         }
     }
 
+    /// Returns the time at which the oldest of the runs entered the cores that are certainly on them; `None`
+    /// without such a run. A run that a stop command did not end is one of them.
+    pub(super) fn oldest_certain_run(&self) -> Option<Nanos> {
+        let certain = self.invocations.active().filter(|(_, invocation)| match invocation.state() {
+            InvocationState::Running => true,
+            InvocationState::Lingering => invocation.stop.has_resisted(),
+            _ => false,
+        });
+        certain.map(|(_, invocation)| invocation.on_cores_since).min()
+    }
+
     fn lingering(&self) -> Vec<usize> {
         self.invocations.keys_where(|invocation| invocation.state() == InvocationState::Lingering)
     }
--- a/crates/overload-control/src/invocations.rs
+++ b/crates/overload-control/src/invocations.rs
@@ -60,6 +60,8 @@
     pub repeats: Option<u64>,
     /// Time at which the invocation entered its current state.
     pub state_since: Nanos,
+    /// Time at which the run most recently entered the cores.
+    pub on_cores_since: Nanos,
     /// Time at which the run of the invocation most recently started.
     pub run_started: Nanos,
     /// Core time used so far.
@@ -212,7 +214,11 @@
     /// Changes the state of an invocation at `now`.
     pub fn enter(&mut self, key: usize, state: InvocationState, now: Nanos) {
         self.remove_from_indexes(key);
-        (self.all[key].state, self.all[key].state_since) = (state, now);
+        let invocation = &mut self.all[key];
+        if state == InvocationState::Running {
+            invocation.on_cores_since = now;
+        }
+        (invocation.state, invocation.state_since) = (state, now);
         self.add_to_indexes(key);
     }
 
--- a/crates/overload-control/src/lingering.rs
+++ b/crates/overload-control/src/lingering.rs
@@ -25,6 +25,8 @@
     sent_at: Option<Nanos>,
     /// Time at which the receipt of this command was shown without a report of the run's end.
     received_at: Option<Nanos>,
+    /// Whether the run was on the cores when a stop command had no effect on it.
+    resisted: bool,
     /// Number of times that the evidence has spoken against the run.
     absences: u32,
     /// Time after which a run must have started to be the next in succession.
@@ -48,6 +50,16 @@
         self.received_at.get_or_insert(now);
     }
 
+    /// Records that a stop command had no effect on a run that was on the cores.
+    pub fn record_resistance(&mut self) {
+        self.resisted = true;
+    }
+
+    /// Whether the run was on the cores when a stop command had no effect on it.
+    pub fn has_resisted(&self) -> bool {
+        self.resisted
+    }
+
     /// Records that the run began to linger.
     pub fn begin_lingering(&mut self, now: Nanos) {
         self.successor_after = now;
