Scenarios of lingering runs; ends of other runs are evidence only where runs cannot be stopped

The scenario of three stops without effect failed: ends of other runs counted as evidence beside the stops, so that two stops sufficed; and a run that started in the very moment in which the one before it ended was left out of a succession.

Scenarios: stopped_runs_stay_on_standing_cores, stops_without_effect_between_progress_exclude_a_run, runnable_threads_exclude_lingering_runs, successive_runs_exclude_one_that_cannot_be_stopped, run_started_again_keeps_its_place, standstill_lowers_the_concurrency_limit.

--- a/crates/overload-control/src/controller/lingering_runs.rs
+++ b/crates/overload-control/src/controller/lingering_runs.rs
@@ -3,7 +3,7 @@
 
 use super::{CONTROL_PERIOD, Controller};
 use crate::invocations::{Invocation, InvocationState};
-use crate::{Effect, Host, Nanos, Outcome};
+use crate::{Effect, Host, Nanos, Outcome, Preemption};
 
 impl Controller {
     /// Handles the receipt of a command to stop a run, if it was shown before any end of the run was
@@ -132,7 +132,8 @@
 
     /// Takes account of the end of a run that started at `started`, for runs that cannot be stopped.
     pub(super) fn observe_successor(&mut self, started: Nanos) {
-        if self.invocations.count(&[InvocationState::Lingering]) == 0.0 {
+        let can_stop = self.deployment.preemption != Preemption::Unsupported;
+        if can_stop || self.invocations.count(&[InvocationState::Lingering]) == 0.0 {
             return;
         }
         for key in self.lingering() {
--- a/crates/overload-control/src/lingering.rs
+++ b/crates/overload-control/src/lingering.rs
@@ -29,7 +29,7 @@
     resisted: bool,
     /// Number of times that the evidence has spoken against the run.
     absences: u32,
-    /// Time after which a run must have started to be the next in succession.
+    /// Time from which on a run must have started to be the next in succession.
     successor_after: Nanos,
 }
 
@@ -79,9 +79,9 @@
         }
     }
 
-    /// Takes account of the end of another run that started at `started`.
+    /// Takes account of the end of another run that started at `started`. Used for runs that cannot be stopped.
     pub fn observe_successor(&mut self, started: Nanos, now: Nanos) {
-        if started > self.successor_after {
+        if started >= self.successor_after {
             self.absences += 1;
             self.successor_after = now;
         }
--- a/crates/overload-control/tests/scenarios.rs
+++ b/crates/overload-control/tests/scenarios.rs
@@ -7,12 +7,13 @@
 //!   of downstream calls that the fleet's budget permits at once.
 //! - `wait MS` advances the time; `repeat N STEP` repeats one step, and `repeat N` ... `end` several.
 //! - Events: `arrive NAME=VALUE ...` (ids are assigned from 1), `finish ID|all|first [ok|error|cancelled]`,
-//!   `unconfirmed ID` (the command that started or resumed a run may have been lost),
+//!   `unconfirmed ID` (the command that started or resumed a run may have been lost), `unstopped ID` (the
+//!   command to stop a run was received and no end of the run was reported),
 //!   `needs ID` (a run has reached its downstream call), `called ID ok|error|unknown|never_ran [MS]` (the
 //!   call has ended), `leave MS` (drain notice) and `gone ID` (the caller cancelled).
 //! - `expect WHAT [opN|ID] = | < | > NUMBER` compares the number of actions since the start or the last
 //!   `forget` step, for one operation or invocation if given. WHAT is an action: run, throttle, promise,
-//!   give_up, answer, stop, call, remember, forget, reuse, healthy, unhealthy, or last (rejections that
+//!   give_up, answer, stop, restart, abandon, call, remember, forget, reuse, healthy, unhealthy, or last (rejections that
 //!   advise against a retry elsewhere). WHAT may also be a value: advert (last advertised load, hundredths),
 //!   away (longest Retry-After, ms), patience (timeout of the last call, ms), idle (timeout of idle
 //!   connections, ms) or most (maximum number of concurrent runs).
@@ -59,7 +60,7 @@
 }
 
 impl Host for Recorder {
-    record_actions! { stop_run "stop" skip_call "skip_call" forget_key "forget" replay_result "reuse" }
+    record_actions! { stop_run "stop" restart_run "restart" abandon_run "abandon" skip_call "skip_call" forget_key "forget" replay_result "reuse" }
     fn start_run(&mut self, id: u64) {
         assert!(!self.running.contains(&id), "invocation {id} is already running");
         self.running.push(id);
@@ -184,6 +185,7 @@
             "called" => deployment.is_downstream_tier = value == "yes",
             "marks" => deployment.retries_marked = value == "yes",
             "pauses" => deployment.preemption = Preemption::Pauses,
+            "unstoppable" => deployment.preemption = Preemption::Unsupported,
             "callers" => deployment.callers = number(value),
             "fair" => deployment.fair_queueing = Some(meadowstream_fair_queueing::Settings::default()),
             "weight" => deployment.advertisement = Advertisement::Weight,
@@ -291,6 +293,7 @@
                 }
             }
             "unconfirmed" => controller.on_run_unconfirmed(now, id(), &mut self.host),
+            "unstopped" => controller.on_stop_unconfirmed(now, id(), &mut self.host),
             "needs" => controller.on_call_needed(now, id(), &mut self.host),
             "called" => {
                 self.host.open_calls -= 1;
@@ -393,6 +396,12 @@
 #[test_case("draining_server_of_many_wants_no_arrivals")]
 #[test_case("unconfirmed_run_frees_its_core")]
 #[test_case("unconfirmed_run_is_stopped_and_runs_again")]
+#[test_case("stopped_runs_stay_on_standing_cores")]
+#[test_case("stops_without_effect_between_progress_exclude_a_run")]
+#[test_case("runnable_threads_exclude_lingering_runs")]
+#[test_case("successive_runs_exclude_one_that_cannot_be_stopped")]
+#[test_case("run_started_again_keeps_its_place")]
+#[test_case("standstill_lowers_the_concurrency_limit")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
