An id of an operation that must not run twice is remembered after its client has left

Cause: a reference was known for as long as its invocation was in the table. When the caller leaves, the run is stopped and the entry goes; the next copy of the id is new. Keys of keyed operations have a table of their own and did not show it.

How long: two longest client timeouts from the run's start; after one no caller waits any more. What never ran is not remembered and may run.

Such a request is errored and counts in `references_reused`.

--- a/crates/server/src/event_loop/actions.rs
+++ b/crates/server/src/event_loop/actions.rs
@@ -8,6 +8,7 @@
 use crate::event_loop::timers::{Timer, TimerQueue};
 use crate::resources::idempotency::IdempotencyTable;
 use crate::resources::invocations::{Delivery, Invocations, RunCommand, SentCommand};
+use crate::resources::recent_runs::RecentRuns;
 use crate::server::Server;
 use crate::wire::interpreter;
 use crate::wire::resp::WORD_MAX;
@@ -19,6 +20,9 @@
 /// Maximum time, in nanoseconds, that the event loop waits for the interpreter's gauge readings in a control
 /// period. After this time the control period continues without the readings.
 const GAUGES_TIMEOUT_NS: Nanos = 250_000_000;
+/// Time for which the reference of a run that must not run twice is remembered, as a multiple of the longest
+/// client timeout. After one such timeout no caller of the invocation waits any more.
+const REFERENCE_MEMORY_RATIO: Nanos = 2;
 
 /// A promise to admit a caller's next attempt. The rejection of the present attempt carries the ticket of the
 /// promise.
@@ -49,6 +53,8 @@
     /// Table of idempotency keys. The table also stores the results of successful invocations, up to a total
     /// size.
     pub idempotency: IdempotencyTable,
+    /// References of recent runs of operations that are not idempotent.
+    pub recent_runs: RecentRuns,
     /// The session with the interpreter. Commands to the interpreter are sent through this session.
     pub session: InterpreterSession,
     /// Timers that the controller has set, and timeouts of unanswered gauge requests.
@@ -79,6 +85,7 @@
             server,
             invocations: Invocations::default(),
             idempotency,
+            recent_runs: RecentRuns::default(),
             session: InterpreterSession::default(),
             timers: TimerQueue::default(),
             promised: None,
@@ -103,6 +110,17 @@
         self.set_timer_after(GAUGES_TIMEOUT_NS, Timer::GaugesOverdue { nonce });
     }
 
+    /// Remembers the reference of a run if its operation is not idempotent, so that the reference does not run
+    /// a second time after the invocation has left the table.
+    pub fn remember_run(&mut self, id: u64) {
+        let Some(invocation) = self.invocations.get(id) else { return };
+        let (operation, reference) = (invocation.operation, invocation.reference);
+        if self.effect(operation) == Effect::NonIdempotent {
+            let kept_for = self.server.configuration.longest_client_timeout() * REFERENCE_MEMORY_RATIO;
+            self.recent_runs.insert(reference, self.server.clock.now() + kept_for);
+        }
+    }
+
     /// Sends the command that starts the run of an invocation.
     pub fn send_start(&mut self, id: u64) {
         let Some(invocation) = self.invocations.get(id) else { return };
--- a/crates/server/src/event_loop/arrivals.rs
+++ b/crates/server/src/event_loop/arrivals.rs
@@ -19,10 +19,11 @@
 }
 
 impl ActionExecutor {
-    /// Registers a request as an invocation, and returns its description for the controller. In three cases,
+    /// Registers a request as an invocation, and returns its description for the controller. In four cases,
     /// fails the request and returns `None`:
     /// - The request's idempotency key is stored with a different body.
     /// - An unfinished invocation has the same reference. The interpreter could not distinguish the two runs.
+    /// - The reference is that of a recent run that must not run twice.
     /// - The controller has not started yet.
     pub fn register(&mut self, mut request: Request, has_controller: bool) -> Option<Arrival> {
         let now = self.server.clock.now();
@@ -34,7 +35,11 @@
         });
         let repeat_of = self.count_lookup(lookup);
         let (operation, tag, connection) = (request.operation, request.tag, request.connection.clone());
-        if lookup == Some(Lookup::BodyMismatch) {
+        let has_run = self.recent_runs.contains(now, request.reference);
+        if has_run {
+            self.server.counters.references_reused.add();
+        }
+        if lookup == Some(Lookup::BodyMismatch) || has_run {
             self.fail_unregistered(&connection, tag);
             return None;
         }
--- a/crates/server/src/event_loop/host.rs
+++ b/crates/server/src/event_loop/host.rs
@@ -14,6 +14,7 @@
         let Some(invocation) = self.invocations.get(id) else { return };
         invocation.is_running = true;
         self.server.counters.runs_sent.add();
+        self.remember_run(id);
         self.send_start(id);
     }
 
--- a/crates/server/src/resources/counters.rs
+++ b/crates/server/src/resources/counters.rs
@@ -45,6 +45,6 @@
     receipts_unknown runs_given_up replays_incomplete
     links notices bad_notices gauges_asked gauges_late
     calls calls_succeeded calls_errored calls_never_ran calls_unknown calls_dropped
-    repeats tokens_full tokens_other calls_left_out
+    repeats references_reused tokens_full tokens_other calls_left_out
     catalog_reports reloads reloads_refused
 }
--- a/crates/server/src/resources/mod.rs
+++ b/crates/server/src/resources/mod.rs
@@ -7,3 +7,4 @@
 pub mod descriptors;
 pub mod idempotency;
 pub mod invocations;
+pub mod recent_runs;
