Requests of a client that has left are not run; those of one that only ended its side are not dropped

An end of the stream alone may be half a close, and all that is open is owed (scenario half_closed). A reset says that the client is gone.

Cause: a reset was noticed with the second answer only, since the first write succeeds. Change: at the end of the stream with calls open the server asks for no more calls (`0 enough`), which a machine whose client has left answers with a reset, and looks for an error of the socket each 5 ms; after each read, too, since the kernel hands out what lies before the reset. Then the calls that wait are closed and runs are stopped, as for any broken connection.

Found by reading on the way: commands that had been read, and not accepted while the memory for buffers was in use, were dropped when the end of the stream was read, and their callers never answered. They are parsed now, and the connection stays open until then; calls_received_before_the_end_of_the_stream_are_not_dropped fails without it.

--- a/crates/server/src/connection/state.rs
+++ b/crates/server/src/connection/state.rs
@@ -117,9 +117,9 @@
     incoming: Ring,
     outgoing: Ring,
     open_tags: Vec<u64>,
-    /// True if the server reads no more bytes, because the peer has closed its sending side or has sent
-    /// malformed data.
-    reading_ended: bool,
+    /// True if the peer has sent malformed data. Nothing that follows it is read or parsed.
+    is_malformed: bool,
+    /// True if the peer has closed its sending side. Commands that were received before are still parsed.
     peer_closed: bool,
     /// Start of the time limit within which the peer must send a complete command. Set while the server waits
     /// for the first command of a new connection, or for the rest of an incomplete command. Otherwise `None`.
@@ -141,7 +141,7 @@
             incoming: Ring::new(resp::ARRAY_MAX),
             outgoing: Ring::new(OUTGOING_MAX_BYTES),
             open_tags: Vec::new(),
-            reading_ended: false,
+            is_malformed: false,
             peer_closed: false,
             command_due_since: Some(now),
         }
@@ -154,12 +154,23 @@
 
     /// Returns whether the connection's task should read from the socket now.
     pub fn wants_read(&self) -> bool {
-        !self.reading_ended && self.accepts_command() && self.receive_capacity() > 0
+        !self.has_reading_ended() && self.accepts_command() && self.receive_capacity() > 0
+    }
+
+    /// Returns whether the server reads no more bytes from the connection.
+    fn has_reading_ended(&self) -> bool {
+        self.is_malformed || self.peer_closed
+    }
+
+    /// Returns whether a complete command was received that is not yet accepted.
+    fn has_unparsed_command(&self) -> bool {
+        !self.is_malformed && matches!(resp::array(self.incoming.front()), Parsed::Complete(..))
     }
 
     /// Returns whether reading is paused until other connections release buffer memory.
     pub fn waits_for_buffers(&self) -> bool {
-        !self.reading_ended && !self.buffers.budget().has_capacity()
+        let may_receive = !self.has_reading_ended() || self.has_unparsed_command();
+        may_receive && !self.buffers.budget().has_capacity()
     }
 
     /// Returns whether the peer has closed its sending side of the connection.
@@ -167,11 +178,16 @@
         self.peer_closed
     }
 
+    /// Returns whether calls are open.
+    pub fn has_open_calls(&self) -> bool {
+        !self.open_tags.is_empty()
+    }
+
     /// Returns whether the connection can be closed. This requires that no more commands are accepted, every
     /// call is answered, and all answers are sent.
     pub fn is_finished(&self) -> bool {
-        let ends = self.reading_ended || self.connection.closes_if_idle.get();
-        ends && self.open_tags.is_empty() && self.outgoing.is_empty()
+        let ends = self.has_reading_ended() || self.connection.closes_if_idle.get();
+        ends && self.open_tags.is_empty() && self.outgoing.is_empty() && !self.has_unparsed_command()
     }
 
     /// Adds received bytes to the incoming buffer. The caller must pass at most [`Self::receive_capacity`]
@@ -185,7 +201,6 @@
 
     /// Handles the end of the incoming stream: the peer has closed its sending side.
     pub fn handle_end_of_stream(&mut self) {
-        self.reading_ended = true;
         self.peer_closed = true;
     }
 
@@ -196,7 +211,7 @@
         now: Nanos,
         decode: impl FnOnce(&rpc::Call) -> Result<Box<Request>, RequestError>,
     ) -> Option<ReceivedEvent> {
-        if self.reading_ended || !self.accepts_command() {
+        if self.is_malformed || !self.accepts_command() {
             return None;
         }
         let (event, length) = match resp::array(self.incoming.front()) {
@@ -208,7 +223,7 @@
                 return None;
             }
             Parsed::Malformed(error) => {
-                self.reading_ended = true;
+                self.is_malformed = true;
                 return Some(ReceivedEvent::Malformed(error));
             }
         };
--- a/crates/server/src/connection/state/tests.rs
+++ b/crates/server/src/connection/state/tests.rs
@@ -300,3 +300,21 @@
     assert!(error.bytes > resp::WORD_MAX);
     assert_eq!(test.transmit_all(0).len() % error.bytes, 0);
 }
+
+/// Calls that were received before the peer closed its sending side must be answered, although the memory for
+/// buffers was in use when the end was read.
+#[test]
+fn calls_received_before_the_end_of_the_stream_are_not_dropped() {
+    let mut test = open_connection();
+    let mut others = BufferReservation::new(test.budget.clone());
+    test.state.handle_bytes(1, &[call(1), call(2)].concat());
+    others.resize(BUDGET_BYTES);
+    assert!(test.poll(1).is_none());
+    test.state.handle_end_of_stream();
+    assert!(!test.state.is_finished() && test.state.waits_for_buffers());
+    others.resize(0);
+    for tag in [1, 2] {
+        assert!(matches!(test.poll(2), Some(ReceivedEvent::Request(request)) if request.tag == tag));
+    }
+    assert!(test.poll(2).is_none() && !test.state.is_finished());
+}
--- a/crates/server/src/connection/task.rs
+++ b/crates/server/src/connection/task.rs
@@ -28,6 +28,8 @@
 const LINGER_DIVISOR: u64 = 8;
 /// Maximum number of bytes that one read from the socket returns.
 const READ_MAX_BYTES: usize = 8 * 1024;
+/// Interval between two checks of whether a peer has left that has closed its sending side.
+const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 struct ConnectionTask {
     server: Rc<Server>,
@@ -108,6 +110,9 @@
             while let Ok(notification) = self.notifications.try_recv() {
                 self.handle_notification(notification)?;
             }
+            if self.state.peer_closed() {
+                self.check_peer_present()?;
+            }
             self.dispatch_events().await?;
             self.write()?;
             if self.state.is_finished() {
@@ -154,6 +159,14 @@
             Timer::after(BUFFERS_RETRY_AFTER).await;
             Ok(Wake::Other)
         };
+        let peer_check = async {
+            if !self.state.peer_closed() || !self.state.has_open_calls() {
+                future::pending::<()>().await;
+            }
+            Timer::after(PEER_CHECK_INTERVAL).await;
+            Ok(Wake::Other)
+        };
+        let timeout = future::or(peer_check, timeout);
         let passive = future::or(readable, future::or(buffers, timeout));
         future::or(notified, future::or(writable, passive)).await
     }
@@ -249,14 +262,36 @@
             return Ok(());
         }
         match self.stream.get_ref().read(&mut chunk[..capacity]) {
-            Ok(0) => self.state.handle_end_of_stream(),
-            Ok(count) => self.state.handle_bytes(self.server.clock.now(), &chunk[..count]),
+            Ok(0) => self.handle_end_of_stream(),
+            Ok(count) => {
+                self.check_peer_present()?;
+                self.state.handle_bytes(self.server.clock.now(), &chunk[..count]);
+            }
             Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
             Err(error) => return Err(error),
         }
         Ok(())
     }
 
+    /// Handles the end of the incoming stream. The peer may have closed its sending side only, or it may have
+    /// left. If calls are open, the peer is asked to send no more calls: if it has left, its machine resets the
+    /// connection in reply.
+    fn handle_end_of_stream(&mut self) {
+        self.state.handle_end_of_stream();
+        if self.state.has_open_calls() {
+            self.connection.drain();
+        }
+    }
+
+    /// Returns an error if the peer has reset the connection. Calls that were received before the reset are
+    /// not wanted any more.
+    fn check_peer_present(&self) -> Result<()> {
+        match self.stream.get_ref().take_error() {
+            Ok(Some(error)) => Err(error),
+            _ => Ok(()),
+        }
+    }
+
     fn write(&mut self) -> Result<()> {
         while !self.state.poll_transmit().is_empty() {
             match self.stream.get_ref().write(self.state.poll_transmit()) {
