A leaving server closes connections on which clients go on calling; the soak plays this and more

What callers saw: the call of a client that goes on using an open connection was in hand when the server was killed at the stop, and got no answer.

Cause: a connection that has heard `enough` is closed an eighth of stop_ms after its last answer. A client that keeps calling always has a later answer, so the server never ended by itself.

Change: after seven eighths of stop_ms each connection is told to close (`Notification::Close`), and again 50 ms later for the last that were accepted: as soon as nothing is open on it, what has come is read and answered, nothing more is read, and it ends by a lingering close. What crosses this close was written within milliseconds before it; its sender sends it again elsewhere.

The soak: `run_with_trouble` adds to the plan of a seed cores that stand still or run at a tenth, single and serial resets of the interpreter's link with commands lost before them, operations that must not run twice, deadlines of 0.6 to 3 s with the kill 0.7 s after them, a crowd of three to eight times the rate, and clients that use open connections until the kill.

--- a/crates/cli/tests/misbehaving_clients.rs
+++ b/crates/cli/tests/misbehaving_clients.rs
@@ -85,6 +85,7 @@
             makes_calls: false,
             operations: vec!["load"],
             key_field: None,
+            keeps_draining_connections: false,
             span: SPAN,
             seed,
         },
--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -1,9 +1,10 @@
 //! Runs the soak test with a few fixed seeds. To run other seeds, three at a time, use
 //!
-//! `SOAK_SEEDS=FIRST..LAST cargo test -p meadowstream --test soak by_hand -- --ignored --nocapture`.
+//! `SOAK_SEEDS=FIRST..LAST cargo test -p meadowstream --test soak by_hand -- --ignored --nocapture`, or
+//! `seeds_with_trouble` for runs with trouble at the interpreter and from clients.
 
 use meadowstream_test_doubles::fleet::{FleetHarness, wait_for};
-use meadowstream_test_doubles::soak::{SoakReport, Totals, run};
+use meadowstream_test_doubles::soak::{SoakReport, Totals, run, run_with_trouble};
 use std::net::IpAddr;
 use std::path::Path;
 use std::sync::Mutex;
@@ -15,7 +16,9 @@
 /// Number of soak runs that the test `by_hand` executes at the same time.
 const CONCURRENT_RUNS: usize = 3;
 
-fn run_seed(seed: u64) -> SoakReport {
+type SoakRun = fn(&Path, u64) -> anyhow::Result<SoakReport>;
+
+fn run_seed(run: SoakRun, seed: u64) -> SoakReport {
     run(Path::new(env!("CARGO_BIN_EXE_meadowstream")), seed)
         .unwrap_or_else(|error| panic!("seed {seed}: {error:#}"))
 }
@@ -26,10 +29,11 @@
     let Totals { sent, succeeded, crossed, unsent, descriptors, stalled_ms } = totals;
     format!(
         "seed {}: {} servers, {:.0} a second, {sent} sent, {succeeded} succeeded, {crossed} crossed, \
-         {unsent} unsent, {descriptors} descriptors, machine stalled for {stalled_ms} ms\n  {}\n{violations}",
+         {unsent} unsent, {descriptors} descriptors, machine stalled for {stalled_ms} ms\n  {:?}\n  {}\n{violations}",
         plan.seed,
         plan.servers,
         plan.rate,
+        plan.trouble,
         actions.join("; ")
     )
 }
@@ -75,7 +79,24 @@
 #[test_case(39)]
 #[test_case(40)]
 fn invariants_hold_under_load_and_signals(seed: u64) {
-    let report = run_seed(seed);
+    let report = run_seed(run, seed);
+    assert!(report.violations.is_empty(), "{}", summary(&report));
+}
+
+#[test_case(101)]
+#[test_case(102)]
+#[test_case(103)]
+#[test_case(104)]
+#[test_case(105)]
+#[test_case(106)]
+#[test_case(107)]
+#[test_case(108)]
+#[test_case(109)]
+#[test_case(110)]
+#[test_case(111)]
+#[test_case(112)]
+fn invariants_hold_with_trouble_at_the_interpreter_and_from_clients(seed: u64) {
+    let report = run_seed(run_with_trouble, seed);
     assert!(report.violations.is_empty(), "{}", summary(&report));
 }
 
@@ -99,6 +120,17 @@
 #[test]
 #[ignore = "takes minutes; runs the seeds of SOAK_SEEDS"]
 fn by_hand() {
+    run_by_hand(run);
+}
+
+/// Runs the soak test with trouble at the interpreter and from clients, like [`by_hand`]. Takes minutes.
+#[test]
+#[ignore = "takes minutes; runs the seeds of SOAK_SEEDS"]
+fn seeds_with_trouble() {
+    run_by_hand(run_with_trouble);
+}
+
+fn run_by_hand(run: SoakRun) {
     let seeds = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1..50".to_string());
     let (first, last) = seeds.split_once("..").expect("FIRST..LAST");
     let (first, last): (u64, u64) = (first.parse().expect("a number"), last.parse().expect("a number"));
@@ -106,7 +138,7 @@
     let failed_seeds = Mutex::new(Vec::new());
     let run_seeds = || {
         while let Some(seed) = { seeds.lock().unwrap().next() } {
-            let report = run_seed(seed);
+            let report = run_seed(run, seed);
             println!("{}", summary(&report));
             if !report.violations.is_empty() {
                 failed_seeds.lock().unwrap().push(seed);
--- a/crates/cli/tests/standing_cores.rs
+++ b/crates/cli/tests/standing_cores.rs
@@ -109,6 +109,7 @@
         makes_calls: false,
         operations: vec!["load"],
         key_field: (effect == "by_key").then_some("token"),
+        keeps_draining_connections: false,
         span,
         seed,
     };
--- a/crates/server/src/connection/state.rs
+++ b/crates/server/src/connection/state.rs
@@ -119,6 +119,9 @@
     open_tags: Vec<u64>,
     /// True if the peer has sent malformed data. Nothing that follows it is read or parsed.
     is_malformed: bool,
+    /// True if the server reads nothing more because it closes the connection. Commands that were received
+    /// before are still parsed.
+    is_closing: bool,
     /// True if the peer has closed its sending side. Commands that were received before are still parsed.
     peer_closed: bool,
     /// Start of the time limit within which the peer must send a complete command. Set while the server waits
@@ -142,6 +145,7 @@
             outgoing: Ring::new(OUTGOING_MAX_BYTES),
             open_tags: Vec::new(),
             is_malformed: false,
+            is_closing: false,
             peer_closed: false,
             command_due_since: Some(now),
         }
@@ -159,7 +163,7 @@
 
     /// Returns whether the server reads no more bytes from the connection.
     fn has_reading_ended(&self) -> bool {
-        self.is_malformed || self.peer_closed
+        self.is_malformed || self.peer_closed || self.is_closing
     }
 
     /// Returns whether a complete command was received that is not yet accepted.
@@ -178,6 +182,11 @@
         self.peer_closed
     }
 
+    /// Stops reading, because the server closes the connection once all that was received is answered.
+    pub fn stop_reading(&mut self) {
+        self.is_closing = true;
+    }
+
     /// Returns whether calls are open.
     pub fn has_open_calls(&self) -> bool {
         !self.open_tags.is_empty()
--- a/crates/server/src/connection/table.rs
+++ b/crates/server/src/connection/table.rs
@@ -11,6 +11,8 @@
 /// Maximum number of open calls on one connection. A call is open until it is answered or cancelled. While
 /// the maximum is reached, further calls stay unread.
 pub const OPEN_CALLS_MAX: usize = 32;
+/// Maximum number of notifications of a connection that are not answers.
+const OTHER_NOTIFICATIONS: usize = 4;
 /// Idle time, in nanoseconds, for connections that have never received a command. After this time the server
 /// may close the connection if a new connection needs its file descriptor.
 const UNUSED_TIMEOUT_NS: Nanos = 50_000_000;
@@ -29,6 +31,9 @@
     },
     /// Send the peer a request to send no more calls on this connection.
     Drain,
+    /// The process is about to stop: close the connection once nothing is open on it, even if its peer goes on
+    /// sending calls.
+    Close,
     /// Close the connection to free its file descriptor. The connection's task ignores this notification if a
     /// command has arrived in the meantime.
     CloseIfIdle,
@@ -67,7 +72,8 @@
     }
 
     /// Queues a notification for the connection's task. Returns false if queueing failed, for example because
-    /// the connection has ended. The queue has space for one answer to each open call.
+    /// the connection has ended. The queue has space for one answer to each open call, and for one of each other
+    /// notification.
     pub fn notify(&self, notification: Notification) -> bool {
         self.notifications.try_send(notification).is_ok()
     }
@@ -119,7 +125,7 @@
     /// Adds a new connection to the table. Returns the connection and the queue of notifications for its
     /// task.
     pub fn open(&self, now: Nanos) -> (Rc<Connection>, Receiver<Notification>) {
-        let (sender, notifications) = async_channel::bounded(OPEN_CALLS_MAX + 2);
+        let (sender, notifications) = async_channel::bounded(OPEN_CALLS_MAX + OTHER_NOTIFICATIONS);
         self.last_id.set(self.last_id.get() + 1);
         let connection = Rc::new(Connection::new(self.last_id.get(), sender, now));
         self.open.borrow_mut().insert(connection.id, connection.clone());
@@ -144,6 +150,13 @@
         }
     }
 
+    /// Asks the task of each connection to close the connection once nothing is open on it.
+    pub fn close_all(&self) {
+        for connection in self.open.borrow().values() {
+            connection.notify(Notification::Close);
+        }
+    }
+
     /// Queues a drain request on each connection that has been idle at least since the time `since`. The
     /// request asks the peer to send no more calls on the connection.
     pub fn drain_idle_since(&self, since: Nanos) {
--- a/crates/server/src/connection/task.rs
+++ b/crates/server/src/connection/task.rs
@@ -39,6 +39,8 @@
     peer: IpAddr,
     notifications: Receiver<Notification>,
     state: ConnectionState,
+    /// True if the connection is closed once nothing is open on it, because the process is about to stop.
+    closes: bool,
 }
 
 /// Registers a connection in the table and starts its task. The connection is registered before the task
@@ -62,7 +64,15 @@
     let peer = stream.get_ref().peer_addr().map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.ip());
     let buffers = BufferReservation::new(server.buffers.clone());
     let state = ConnectionState::new(settings(&server), connection.clone(), buffers, server.clock.now());
-    let mut task = ConnectionTask { server: server.clone(), stream, connection, peer, notifications, state };
+    let mut task = ConnectionTask {
+        server: server.clone(),
+        stream,
+        connection,
+        peer,
+        notifications,
+        state,
+        closes: false,
+    };
     match task.run().await {
         Ok(()) => task.linger().await,
         Err(error) => {
@@ -115,13 +125,16 @@
             }
             self.dispatch_events().await?;
             self.write()?;
+            if self.closes && !self.state.has_open_calls() && self.read_last_calls()? {
+                continue;
+            }
             if self.state.is_finished() {
                 return Ok(());
             }
             self.state.update_reservation();
             match self.wait().await? {
                 Wake::Other => {}
-                Wake::Readable => self.read()?,
+                Wake::Readable => drop(self.read()?),
                 Wake::Notified(notification) => self.handle_notification(notification)?,
                 Wake::Timeout => {
                     if self.has_expired().await? {
@@ -195,7 +208,11 @@
             }
             // Read the commands that have already arrived. If there is a complete command, the connection
             // stays open.
-            Notification::CloseIfIdle => self.read(),
+            Notification::CloseIfIdle => self.read().map(drop),
+            Notification::Close => {
+                self.closes = true;
+                Ok(())
+            }
             Notification::Drain => {
                 self.server.counters.enough_sent.add();
                 Ok(self.state.queue_drain(self.server.clock.now())?)
@@ -255,22 +272,37 @@
         Ok(())
     }
 
-    fn read(&mut self) -> Result<()> {
+    /// Reads what has arrived on a connection that is about to be closed. Once nothing is left, stops reading,
+    /// and the connection ends when the last calls are answered. Returns whether calls may have been received.
+    fn read_last_calls(&mut self) -> Result<bool> {
+        if !self.state.wants_read() {
+            return Ok(false);
+        }
+        let has_more = self.read()?;
+        if !has_more {
+            self.state.stop_reading();
+        }
+        Ok(true)
+    }
+
+    /// Reads bytes that have arrived. Returns whether more may have arrived than was read.
+    fn read(&mut self) -> Result<bool> {
         let mut chunk = [0; READ_MAX_BYTES];
         let capacity = self.state.receive_capacity().min(READ_MAX_BYTES);
         if capacity == 0 {
-            return Ok(());
+            return Ok(true);
         }
         match self.stream.get_ref().read(&mut chunk[..capacity]) {
             Ok(0) => self.handle_end_of_stream(),
             Ok(count) => {
                 self.check_peer_present()?;
                 self.state.handle_bytes(self.server.clock.now(), &chunk[..count]);
+                return Ok(count == capacity);
             }
             Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
             Err(error) => return Err(error),
         }
-        Ok(())
+        Ok(false)
     }
 
     /// Handles the end of the incoming stream. The peer may have closed its sending side only, or it may have
--- a/crates/server/src/lifecycle/drain.rs
+++ b/crates/server/src/lifecycle/drain.rs
@@ -10,6 +10,10 @@
 /// Interval between two checks of whether the drain is over.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time after which connections are told to close that were in the kernel's queue when the listener was closed.
+/// Their first calls may still be under way.
+const LAST_ACCEPTED_CLOSE_AFTER: Duration = Duration::from_millis(50);
+
 /// Part of the drain in which the server accepts connections, in eighths of the time from the notice to leave
 /// until the process stops.
 ///
@@ -30,9 +34,13 @@
     server.connections.drain_all();
     Timer::at(noticed_at + accepting).await;
     server.drain.enter(Phase::Closing);
-    // Connections may have been accepted after the end of the grace phase. This call asks the peers of these
-    // connections to send no more calls.
+    // Connections may have been accepted after the end of the grace phase. Their peers are asked to send no
+    // more calls. Connections whose peers go on sending are closed, because a call that arrives at the stop
+    // could not be answered.
     server.connections.drain_all();
+    server.connections.close_all();
+    Timer::after(LAST_ACCEPTED_CLOSE_AFTER).await;
+    server.connections.close_all();
 }
 
 /// Returns whether the server may exit. There are two cases:
--- a/crates/test-doubles/src/balancers.rs
+++ b/crates/test-doubles/src/balancers.rs
@@ -69,8 +69,8 @@
 }
 
 impl Connection {
-    fn accepts_calls(&self) -> bool {
-        !self.draining.get() && self.calls_in_flight() < CALLS_MAX
+    fn accepts_calls(&self, is_kept: bool) -> bool {
+        (is_kept || !self.draining.get()) && self.calls_in_flight() < CALLS_MAX
     }
 
     fn calls_in_flight(&self) -> usize {
@@ -84,6 +84,8 @@
     connections: RefCell<Vec<Rc<Connection>>>,
     connections_max: usize,
     executor: &'static LocalExecutor<'static>,
+    /// Whether the balancer goes on using a connection that the server drains, until the server closes it.
+    pub keeps_draining_connections: Cell<bool>,
     /// Number of replies for which no caller was waiting, such as a second reply to one call.
     pub unexpected_replies: Cell<u64>,
     /// Number of calls whose connection ended before the reply arrived.
@@ -111,6 +113,7 @@
             connections: RefCell::default(),
             connections_max,
             executor,
+            keeps_draining_connections: Cell::new(false),
             unexpected_replies: Cell::new(0),
             broken_calls: Cell::new(0),
             crossed_calls: Cell::new(0),
@@ -144,7 +147,8 @@
     async fn connection(self: &Rc<Self>) -> std::io::Result<Option<Rc<Connection>>> {
         let (least_loaded, count) = {
             let connections = self.connections.borrow();
-            let accepting = connections.iter().filter(|connection| connection.accepts_calls());
+            let is_kept = self.keeps_draining_connections.get();
+            let accepting = connections.iter().filter(|connection| connection.accepts_calls(is_kept));
             (accepting.min_by_key(|connection| connection.calls_in_flight()).cloned(), connections.len())
         };
         let at_limit = count >= self.connections_max;
@@ -196,7 +200,8 @@
                 unread.drain(..used);
                 self.handle_reply(connection, &words);
             }
-            if connection.draining.get() && connection.calls_in_flight() == 0 {
+            let is_kept = self.keeps_draining_connections.get();
+            if connection.draining.get() && !is_kept && connection.calls_in_flight() == 0 {
                 return Ok(());
             }
             let count = (&connection.stream).read(&mut chunk).await?;
--- a/crates/test-doubles/src/fleet/files.rs
+++ b/crates/test-doubles/src/fleet/files.rs
@@ -12,6 +12,8 @@
 /// Number of probe periods for which a member stays suspect before it is declared down.
 pub const SUSPICION_PERIODS: u64 = 5;
 
+/// Time from the drain notice to the stop of a server in the default configuration, in milliseconds.
+const STOP_MS_DEFAULT: u64 = 2_000;
 /// Limit on the file descriptors of a server in the default configuration.
 const DESCRIPTORS_DEFAULT: u64 = 256;
 
@@ -41,6 +43,9 @@
     pub programs: Vec<PathBuf>,
     /// Address to which the first server binds its membership socket. `None` selects a free port.
     pub first_membership_bind: Option<SocketAddr>,
+    /// Time from the drain notice to the stop of a server, in milliseconds; 0 selects the default of the
+    /// harness.
+    pub stop_ms: u64,
     /// Limit on the file descriptors of each server; 0 selects the default of the harness.
     pub descriptors: u64,
     /// What the machine of each interpreter survives. The configuration of the servers states the same.
@@ -63,12 +68,13 @@
     let cores = options.cores.max(1.0);
     let Survivable { ratio, window, cold_speed, warm_up } = options.survivable;
     let is_cold = cold_speed < 1.0;
+    let stop_ms = if options.stop_ms == 0 { STOP_MS_DEFAULT } else { options.stop_ms };
     let descriptors = if options.descriptors == 0 { DESCRIPTORS_DEFAULT } else { options.descriptors };
     let mut configuration = json!({
         "name": format!("s{index}"), "listen": addresses.listen, "vm": addresses.interpreter,
         "records": addresses.downstream_service,
         "directory": addresses.registry, "seed": "8c1f30d27a5be964",
-        "stop_ms": 2000, "limits": {"cores": cores, "memory_mb": 192, "sockets": descriptors},
+        "stop_ms": stop_ms, "limits": {"cores": cores, "memory_mb": 192, "sockets": descriptors},
         "settings": {
             "grades": [{"name": "load", "effect": "repeatable", "target": 8_000_000, "give-up": 9_000_000,
                 "worth": 1.0}],
--- a/crates/test-doubles/src/open_loop.rs
+++ b/crates/test-doubles/src/open_loop.rs
@@ -72,6 +72,8 @@
     pub operations: Vec<&'static str>,
     /// Name of the field that carries a new idempotency key with each call; `None` without keys.
     pub key_field: Option<&'static str>,
+    /// Whether the clients go on using connections that the server drains, until the server closes them.
+    pub keeps_draining_connections: bool,
     /// Time for which calls are sent.
     pub span: Duration,
     /// Number from which the references of the calls are derived.
@@ -141,7 +143,16 @@
     seed: u64,
 ) -> JoinHandle<ReplyCounts> {
     let (operations, work) = (vec!["load"], work..=work);
-    let settings = LoadSettings { rate, work, makes_calls: true, operations, key_field: None, span, seed };
+    let settings = LoadSettings {
+        rate,
+        work,
+        makes_calls: true,
+        operations,
+        key_field: None,
+        keeps_draining_connections: false,
+        span,
+        seed,
+    };
     start_with(to, settings)
 }
 
@@ -151,6 +162,7 @@
     std::thread::spawn(move || {
         let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
         let balancer = Balancer::new(to, CONNECTIONS_MAX, executor);
+        balancer.keeps_draining_connections.set(settings.keeps_draining_connections);
         let LoadSettings { rate, span, seed, .. } = settings;
         let load = Rc::new(Load { balancer, settings, replies: Cell::default(), in_flight: Cell::new(0) });
         let (end, gap) = (Instant::now() + span, Duration::from_secs_f64(1.0 / rate));
--- a/crates/test-doubles/src/soak.rs
+++ b/crates/test-doubles/src/soak.rs
@@ -10,4 +10,4 @@
 
 pub use checks::{Totals, Violation};
 pub use plan::Plan;
-pub use play::{SoakReport, run};
+pub use play::{SoakReport, run, run_with_trouble};
--- a/crates/test-doubles/src/soak/checks.rs
+++ b/crates/test-doubles/src/soak/checks.rs
@@ -3,12 +3,13 @@
 use crate::open_loop::ReplyCounts;
 use std::time::Duration;
 
-/// Client timeout in the configuration that the harness writes. Each call must be answered within this time.
+/// Client timeout in the configuration that the harness writes, in a run without trouble. Each call must be
+/// answered within this time.
 pub const CLIENT_TIMEOUT: Duration = Duration::from_millis(9_000);
 /// Drain grace in the configuration that the harness writes. The server still runs calls that arrive within
 /// this time after its drain notice.
 pub const DRAIN_GRACE: Duration = Duration::from_millis(200);
-/// Time after the drain notice at which the harness kills a server that still runs.
+/// Time after the drain notice at which the harness kills a server that still runs, in a run without trouble.
 pub const STOP_AFTER: Duration = Duration::from_millis(2_000);
 /// Tolerance for time limits that are checked at a socket. The protocol allows such a limit to be exceeded by
 /// this time.
@@ -59,6 +60,24 @@
         /// Number of repeated runs.
         runs: u64,
     },
+    /// A run began for a task that had begun one before, although the operation must not run twice.
+    #[error("s{server}: {runs} runs of tasks that had begun before")]
+    BeganTwice {
+        /// Index of the server.
+        server: usize,
+        /// Number of such runs.
+        runs: u64,
+    },
+    /// More runs were on the cores than the machine survives, on average over the window of the protocol.
+    #[error("s{server}: {mean:.1} runs on the cores on average, {load:.2} of what the machine survives")]
+    OverloadedCores {
+        /// Index of the server.
+        server: usize,
+        /// Highest mean number of runs on the cores.
+        mean: f64,
+        /// The same as a share of what the machine survived at that time.
+        load: f64,
+    },
     /// A call succeeded although it was sent after the end of the server's drain grace.
     #[error("s{server}: a call succeeded that was sent {after_ms} ms after the drain notice")]
     RanAfterGrace {
@@ -69,7 +88,7 @@
     },
     /// The server still accepted connections immediately before the harness killed it. Before the kill, the
     /// process may still run to send its last replies, but it must not accept connections.
-    #[error("s{server}: accepts connections {STOP_AFTER:?} after the drain notice; {counters}; {log:#?}")]
+    #[error("s{server}: accepts connections at the kill; {counters}; {log:#?}")]
     AcceptsAtKill {
         /// Index of the server.
         server: usize,
@@ -139,6 +158,7 @@
 pub fn client_violations(
     server: usize,
     replies: &ReplyCounts,
+    client_timeout: Duration,
     stopped: Duration,
     killed: bool,
 ) -> Vec<Violation> {
@@ -150,7 +170,7 @@
     if replies.unexpected > 0 {
         violations.push(Violation::AnsweredTwice { server, replies: replies.unexpected });
     }
-    if Duration::from_millis(replies.slowest_ms) > CLIENT_TIMEOUT + SLACK + stopped {
+    if Duration::from_millis(replies.slowest_ms) > client_timeout + SLACK + stopped {
         violations.push(Violation::LateReply { server, slowest_ms: replies.slowest_ms, stopped });
     }
     violations
--- a/crates/test-doubles/src/soak/plan.rs
+++ b/crates/test-doubles/src/soak/plan.rs
@@ -1,5 +1,6 @@
 //! Plan of a soak run. All random choices of the plan are drawn from its seed.
 
+use super::checks;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -34,6 +35,18 @@
         /// Time for which newly arriving calls are not answered.
         span: Duration,
     },
+    /// The cores of the interpreter run at a share of their speed, or stand still.
+    Cores {
+        /// Speed as a ratio of full speed; 0 if the cores stand still.
+        speed: f64,
+        /// Time for which the cores have this speed.
+        span: Duration,
+    },
+    /// The link to the interpreter is reset. Commands that the server sends shortly before are lost.
+    ResetLink {
+        /// Time before the reset for which commands are lost.
+        loses: Duration,
+    },
     /// Clients open more idle connections than the server has file descriptors. The clients do not close
     /// these connections before the end of the run.
     IdleConnections {
@@ -63,6 +76,26 @@
     pub name: &'static str,
 }
 
+/// Trouble that is added to the plan of a soak run: at the interpreter, and from clients that do not leave.
+#[derive(Clone, Debug)]
+pub struct Trouble {
+    /// Effect of the operation, as the configuration names it.
+    pub effect: &'static str,
+    /// Time for which a client waits for its answer.
+    pub client_timeout: Duration,
+    /// Factor by which the rate of calls is multiplied. Above 1, the clients are a crowd that the cores cannot
+    /// serve.
+    pub crowd: f64,
+    /// Whether clients go on using connections that the server drains, until the server closes them or is
+    /// killed.
+    pub keeps_draining_connections: bool,
+}
+
+/// Longest client timeout in a run with trouble, in milliseconds.
+const CLIENT_TIMEOUT_MS: u64 = 3_000;
+/// Time from the drain notice to the kill beyond the client timeout, in a run with trouble.
+const STOP_AFTER_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Plan of a soak run.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -81,9 +114,42 @@
     /// Signals that the harness sends to each server in this order, beginning [`Plan::span`] after the start
     /// of the load. The signals include a drain notice.
     pub ending: Vec<LastSignal>,
+    /// Additional trouble; `None` in a run with signals only.
+    pub trouble: Option<Trouble>,
 }
 
 impl Plan {
+    /// Draws a plan like [`Plan::draw`], and adds trouble at the interpreter and from clients.
+    pub fn draw_with_trouble(seed: u64) -> Plan {
+        let mut plan = Plan::draw(seed);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x63);
+        let effects = ["repeatable", "once", "by_key"];
+        plan.trouble = Some(Trouble {
+            effect: effects.choose(&mut rng).copied().unwrap_or_default(),
+            client_timeout: Duration::from_millis(rng.random_range(600..=CLIENT_TIMEOUT_MS)),
+            crowd: if rng.random_bool(0.4) { rng.random_range(3.0..8.0) } else { 1.0 },
+            keeps_draining_connections: rng.random_bool(0.6),
+        });
+        plan.work = Duration::from_millis(rng.random_range(5..80));
+        for _ in 0..rng.random_range(2..5) {
+            let server = rng.random_range(0..plan.servers);
+            plan.events.extend(draw_interpreter_trouble(&mut rng, server));
+        }
+        plan.events.sort_by_key(|scheduled| scheduled.at);
+        plan
+    }
+
+    /// Returns the time for which a client waits for its answer.
+    pub fn client_timeout(&self) -> Duration {
+        self.trouble.as_ref().map_or(checks::CLIENT_TIMEOUT, |trouble| trouble.client_timeout)
+    }
+
+    /// Returns the time after the drain notice at which a server is killed that still runs.
+    pub fn stop_after(&self) -> Duration {
+        let after_timeout = |trouble: &Trouble| trouble.client_timeout + STOP_AFTER_TIMEOUT;
+        self.trouble.as_ref().map_or(checks::STOP_AFTER, after_timeout)
+    }
+
     /// Draws a plan from the random numbers of a seed.
     pub fn draw(seed: u64) -> Plan {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -117,6 +183,7 @@
             call_time: Duration::from_millis(rng.random_range(5..100)),
             events,
             ending,
+            trouble: None,
         }
     }
 
@@ -126,6 +193,19 @@
     }
 }
 
+/// Draws one event at the interpreter of a server, or a series of resets of its link.
+fn draw_interpreter_trouble(rng: &mut ChaCha8Rng, server: usize) -> Vec<Scheduled> {
+    let at = draw_moment(rng);
+    let event = match rng.random_range(0..4) {
+        0 | 1 => Event::Cores { speed: 0.0, span: Duration::from_millis(rng.random_range(300..4_000)) },
+        2 => Event::Cores { speed: 0.1, span: Duration::from_millis(rng.random_range(300..4_000)) },
+        _ => Event::ResetLink { loses: Duration::from_millis(rng.random_range(0..40)) },
+    };
+    let repeats = if matches!(event, Event::ResetLink { .. }) { rng.random_range(1..8) } else { 1 };
+    let gap = Duration::from_millis(rng.random_range(50..800));
+    (0..repeats).map(|repeat| Scheduled { at: at + gap * repeat, server, event }).collect()
+}
+
 fn draw_moment(rng: &mut ChaCha8Rng) -> Duration {
     Duration::from_millis(rng.random_range(200..SPAN_MS - 200))
 }
--- a/crates/test-doubles/src/soak/play.rs
+++ b/crates/test-doubles/src/soak/play.rs
@@ -5,9 +5,10 @@
 use super::plan::{Event, Plan};
 use crate::downstream_service::{self, DownstreamService};
 use crate::fleet::{FleetHarness, HarnessOptions, wait_for};
-use crate::open_loop::{self, ReplyCounts};
+use crate::interpreter::InterpreterFaults;
+use crate::open_loop::{self, LoadSettings, ReplyCounts};
 use anyhow::{Context, Result};
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::net::TcpStream;
 use std::path::Path;
 use std::sync::Arc;
@@ -22,6 +23,8 @@
 /// budget.
 const BUDGET_FLOOR: u64 = 1;
 const CORES: f64 = 4.0;
+/// Field that carries the idempotency key of a call.
+const KEY_FIELD: &str = "token";
 /// Call time that is set at the downstream service to keep it from answering calls. The time is longer than a
 /// whole soak run.
 const SILENT: Duration = Duration::from_secs(60);
@@ -54,7 +57,15 @@
 /// Executes the soak run whose plan is drawn from `seed`. The servers are processes of `program`. Violated
 /// invariants are listed in the report. An `Err` is an error of the harness itself.
 pub fn run(program: &Path, seed: u64) -> Result<SoakReport> {
-    let plan = Plan::draw(seed);
+    run_plan(program, Plan::draw(seed))
+}
+
+/// Executes the soak run like [`run`], with trouble at the interpreter and from clients.
+pub fn run_with_trouble(program: &Path, seed: u64) -> Result<SoakReport> {
+    run_plan(program, Plan::draw_with_trouble(seed))
+}
+
+fn run_plan(program: &Path, plan: Plan) -> Result<SoakReport> {
     let mut run = Run::start(program, &plan)?;
     run.execute_events(&plan)?;
     run.end(&plan)?;
@@ -67,6 +78,9 @@
     Reload,
     CallTime(Duration),
     IdleConnections(usize),
+    CoreSpeed(f64),
+    LoseCommands,
+    ResetLink,
 }
 
 struct ScheduledAction {
@@ -107,17 +121,19 @@
             cores: CORES,
             downstream_services: vec![address; plan.servers],
             options: options(plan, 0),
+            settings: settings(plan),
+            stop_ms: plan.stop_after().as_millis() as u64,
             ..HarnessOptions::default()
         };
         let fleet = FleetHarness::with_options(program, plan.servers, plan.servers, plan.seed, options)?;
         let all_servers: Vec<usize> = (0..plan.servers).collect();
         fleet.wait_for_agreement(&all_servers, Instant::now(), START_MAX)?;
-        let span = Plan::span() + checks::STOP_AFTER + checks::SLACK;
+        let span = Plan::span() + plan.stop_after() + checks::SLACK;
         let mut loads = Vec::new();
         for &server in &all_servers {
             let to = fleet.listen_address(server).context("the server has not logged its listen address")?;
             let seed = plan.seed.wrapping_mul(16) + server as u64 + 1;
-            loads.push(open_loop::start(to, plan.rate, plan.work, span, seed & 0xffff_ffff));
+            loads.push(open_loop::start_with(to, load(plan, span, seed & 0xffff_ffff)));
         }
         let observed = all_servers.iter().map(|_| Observed::default()).collect();
         let (idle, actions, began) = (Vec::new(), Vec::new(), Instant::now());
@@ -136,6 +152,9 @@
         for server in 0..plan.servers {
             self.act(server, &Action::Signal("CONT"))?;
         }
+        for server in 0..plan.servers {
+            self.act(server, &Action::CoreSpeed(1.0))?;
+        }
         self.act(0, &Action::CallTime(plan.call_time))
     }
 
@@ -156,6 +175,17 @@
                 self.actions.push(format!("{at} service takes {time:?}"));
                 self.service.call_time_us.store(time.as_micros() as u64, Relaxed);
             }
+            Action::CoreSpeed(speed) => {
+                if *speed < 1.0 {
+                    self.actions.push(format!("{at} s{server} cores at {speed}"));
+                }
+                self.faults(server)?.set_speed(*speed);
+            }
+            Action::LoseCommands => self.faults(server)?.ignore_commands(),
+            Action::ResetLink => {
+                self.actions.push(format!("{at} s{server} link reset"));
+                self.faults(server)?.reset_link();
+            }
             Action::IdleConnections(connections) => {
                 let to = self
                     .fleet
@@ -169,6 +199,10 @@
         Ok(())
     }
 
+    fn faults(&self, server: usize) -> Result<Arc<InterpreterFaults>> {
+        self.fleet.interpreter_faults(server).context("the server has no interpreter")
+    }
+
     /// Adds up the time for which a server is stopped, from its signals STOP and CONT. A second STOP before
     /// CONT has no effect.
     fn record_stop(&mut self, server: usize, signal: &str) {
@@ -220,7 +254,7 @@
             for server in running.clone() {
                 let (notified_at, stalled_before) = drain_notices[server];
                 let draining_for = notified_at.elapsed().saturating_sub(self.stalled - stalled_before);
-                if draining_for >= checks::STOP_AFTER && !self.observed[server].killed {
+                if draining_for >= plan.stop_after() && !self.observed[server].killed {
                     self.kill(server)?;
                 }
             }
@@ -244,8 +278,8 @@
             totals.succeeded += replies.succeeded;
             totals.crossed += replies.crossed;
             totals.unsent += replies.unsent;
-            violations.extend(self.check_clients(server, &replies));
-            violations.extend(self.check_server(server, &replies));
+            violations.extend(self.check_clients(&plan, server, &replies));
+            violations.extend(self.check_server(&plan, server, &replies));
         }
         let most = self.service.most_in_flight.load(Relaxed);
         if plan.servers > 1 && most > BUDGET_TOTAL {
@@ -256,25 +290,26 @@
         Ok(SoakReport { plan, violations, actions: self.actions, totals })
     }
 
-    fn check_clients(&self, server: usize, replies: &ReplyCounts) -> Vec<Violation> {
+    fn check_clients(&self, plan: &Plan, server: usize, replies: &ReplyCounts) -> Vec<Violation> {
         let Observed { stopped, killed, .. } = self.observed[server];
-        checks::client_violations(server, replies, stopped + self.stalled, killed)
+        checks::client_violations(server, replies, plan.client_timeout(), stopped + self.stalled, killed)
     }
 
-    fn check_server(&mut self, server: usize, replies: &ReplyCounts) -> Vec<Violation> {
+    fn check_server(&mut self, plan: &Plan, server: usize, replies: &ReplyCounts) -> Vec<Violation> {
         let mut violations = Vec::new();
         let Observed { descriptors, memory_kb, killed, .. } = self.observed[server];
         if descriptors > checks::DESCRIPTORS_MAX || memory_kb > checks::MEMORY_KB_MAX {
             violations.push(Violation::OverResourceLimit { server, descriptors, memory_kb });
         }
-        let runs = self.fleet.run_counts(server).map_or(0, |runs| runs.repeated.load(Relaxed));
-        if runs > 0 {
-            violations.push(Violation::RanTwice { server, runs });
-        }
+        violations.extend(self.check_runs(plan, server));
         if self.observed[server].accepts_at_kill {
             violations.push(self.accepts_at_kill(server));
         }
         if killed {
+            // A server ends by itself, even if its clients go on calling.
+            if plan.trouble.is_some() {
+                violations.push(Violation::ExitCode { server, status: "killed at the stop".to_string() });
+            }
             return violations;
         }
         match self.fleet.exit_status(server) {
@@ -289,6 +324,28 @@
         violations
     }
 
+    /// Checks the runs on the interpreter of a server. A run of an operation that may run twice begins again
+    /// if the command that started it may have been lost.
+    fn check_runs(&self, plan: &Plan, server: usize) -> Vec<Violation> {
+        let Some(counts) = self.fleet.run_counts(server) else { return Vec::new() };
+        let mut violations = Vec::new();
+        let may_run_twice = plan.trouble.as_ref().is_some_and(|trouble| trouble.effect == "repeatable");
+        let repeated = counts.repeated.load(Relaxed);
+        if repeated > 0 && !may_run_twice {
+            violations.push(Violation::RanTwice { server, runs: repeated });
+        }
+        let begun_again = counts.begun_again.load(Relaxed);
+        if begun_again > 0 && plan.trouble.is_some() && !may_run_twice {
+            violations.push(Violation::BeganTwice { server, runs: begun_again });
+        }
+        let [mean, load] = [&counts.most_mean_thousandths, &counts.most_load_thousandths]
+            .map(|thousandths| thousandths.load(Relaxed) as f64 / 1e3);
+        if load > 1.0 {
+            violations.push(Violation::OverloadedCores { server, mean, load });
+        }
+        violations
+    }
+
     fn accepts_at_kill(&self, server: usize) -> Violation {
         let lines = self.fleet.timestamped_log_lines(server);
         let text = |(at, fields): &(String, Value)| format!("{at} {fields}");
@@ -361,23 +418,57 @@
                 add(at, Action::CallTime(SILENT));
                 add(at + span, Action::CallTime(plan.call_time));
             }
+            Event::Cores { speed, span } => {
+                add(at, Action::CoreSpeed(speed));
+                add(at + span, Action::CoreSpeed(1.0));
+            }
+            Event::ResetLink { loses } => {
+                add(at.saturating_sub(loses), Action::LoseCommands);
+                add(at, Action::ResetLink);
+            }
             Event::IdleConnections { connections } => add(at, Action::IdleConnections(connections)),
         }
     }
     actions
 }
 
+/// Returns the load of one server.
+fn load(plan: &Plan, span: Duration, seed: u64) -> LoadSettings {
+    let trouble = plan.trouble.as_ref();
+    LoadSettings {
+        rate: plan.rate * trouble.map_or(1.0, |trouble| trouble.crowd),
+        work: plan.work..=plan.work,
+        makes_calls: true,
+        operations: vec!["load"],
+        key_field: trouble.filter(|trouble| trouble.effect == "by_key").map(|_| KEY_FIELD),
+        keeps_draining_connections: trouble.is_some_and(|trouble| trouble.keeps_draining_connections),
+        span,
+        seed,
+    }
+}
+
+/// Returns the settings that differ from those of the harness.
+fn settings(plan: &Plan) -> Vec<(&'static str, Value)> {
+    let Some(trouble) = &plan.trouble else { return Vec::new() };
+    let give_up = trouble.client_timeout.as_micros() as u64;
+    let operation = json!([{"name": "load", "effect": trouble.effect, "target": give_up * 4 / 5,
+        "give-up": give_up, "worth": 1.0, "window": 2 * give_up}]);
+    vec![("grades", operation)]
+}
+
 fn tenants(change: u64) -> String {
     format!(r#"<tenants by="sender"><tenant name="1" weight="{}"/></tenants>"#, 1 + change)
 }
 
 fn options(plan: &Plan, change: u64) -> String {
+    let has_keys = plan.trouble.as_ref().is_some_and(|trouble| trouble.effect == "by_key");
+    let keys = if has_keys { format!(r#"<tokens field="{KEY_FIELD}"/>"#) } else { String::new() };
     if plan.servers == 1 {
-        return tenants(change);
+        return format!("{}{keys}", tenants(change));
     }
     let voters: String = (0..plan.servers).map(|server| format!(r#"<voter name="s{server}"/>"#)).collect();
     format!(
-        r#"{}<shared-state gossip-ms="100"><budget name="records" total="{BUDGET_TOTAL}"
+        r#"{}{keys}<shared-state gossip-ms="100"><budget name="records" total="{BUDGET_TOTAL}"
         floor="{BUDGET_FLOOR}" servers="{}" lease-ms="2000" use-most-ms="500">{voters}</budget>
         </shared-state>"#,
         tenants(change),
