A restarted server counts what its predecessor may have left on the cores and at the dependency

A server that was killed and started again beside an interpreter that still runs took the cores for empty and its call budget for unspent.

Change: where the interpreter is older than the process by over a second, the cores count as taken until the gauge of runnable threads has shown how many runs are not this process's; that number only falls, by later readings or by eight runs in succession that end. The budget of a shared dependency starts empty: over any window old and new life together then stay within the quota. The log says `the interpreter is older than this process`. In the report's logs age_ms is the uptime of the process, so starts there do not change.

--- a/crates/cli/tests/standing_cores.rs
+++ b/crates/cli/tests/standing_cores.rs
@@ -163,3 +163,50 @@
     let give_up = Duration::from_millis(600);
     play(seed, effect, give_up, "discard", &trouble, Duration::from_secs(22)).assert_rules(effect, give_up);
 }
+
+/// Runs that a killed server left on standing cores must count against what its successors start.
+#[test]
+fn restarted_servers_count_the_runs_of_their_predecessors() {
+    const LIVES: usize = 7;
+    const LIFE: Duration = Duration::from_millis(1_600);
+    let options = HarnessOptions {
+        cores: CORES,
+        settings: vec![("grades", operations("once", Duration::from_millis(600)))],
+        ..HarnessOptions::default()
+    };
+    let program = Path::new(env!("CARGO_BIN_EXE_meadowstream"));
+    let mut fleet = FleetHarness::with_options(program, 1, 1, 7, options).unwrap();
+    let mut unanswered_before_kill = 0;
+    for life in 0..LIVES {
+        let started = || fleet.log_lines(0, "started").get(life)?["listen"].as_str()?.parse().ok();
+        let to = wait_for(START_MAX, started).expect("a started server");
+        let links = || (fleet.log_lines(0, "linked to the interpreter").len() > life).then_some(());
+        wait_for(START_MAX, links).expect("a link");
+        let load = open_loop::start_with(
+            to,
+            LoadSettings {
+                rate: RATE,
+                work: Duration::from_millis(50)..=Duration::from_millis(300),
+                makes_calls: false,
+                operations: vec!["load"],
+                key_field: None,
+                keeps_draining_connections: false,
+                span: LIFE - Duration::from_millis(100),
+                seed: 70 + life as u64,
+            },
+        );
+        std::thread::sleep(LIFE);
+        fleet.interpreter_faults(0).unwrap().set_speed(0.0);
+        let replies = load.join().unwrap();
+        unanswered_before_kill += replies.unanswered;
+        fleet.signal_and_keep(0, "KILL").unwrap();
+        wait_for(START_MAX, || fleet.exit_status(0)).expect("a killed server");
+        fleet.supervise().unwrap();
+    }
+    let runs = fleet.run_counts(0).unwrap();
+    let [mean, load] = [&runs.most_mean_thousandths, &runs.most_load_thousandths]
+        .map(|thousandths| thousandths.load(Relaxed) as f64 / 1e3);
+    println!("{mean:.1} runs on average, {load:.2} of what is survived, {unanswered_before_kill} unanswered");
+    assert_eq!(unanswered_before_kill, 0);
+    assert!(load <= 1.0, "{mean:.1} runs on the cores, {load:.2} of what is survived");
+}
--- a/crates/overload-control/src/call_budget.rs
+++ b/crates/overload-control/src/call_budget.rs
@@ -59,6 +59,11 @@
         Some(Self { quota, linger, available_ns: f64::INFINITY, needed_ns: 0.0, max_ns })
     }
 
+    /// Spends the whole budget. It is refilled from now on.
+    pub fn spend_all(&mut self) {
+        self.available_ns = 0.0;
+    }
+
     /// Refills the budget for the time `elapsed` since the last refill.
     pub fn advance(&mut self, elapsed: Nanos) {
         let gained = self.quota * STEADY_SHARE * elapsed as f64;
--- a/crates/overload-control/src/controller.rs
+++ b/crates/overload-control/src/controller.rs
@@ -29,6 +29,7 @@
 use crate::lingering::RunnableBound;
 use crate::memory_limit::MemoryLimit;
 use crate::operation_times::OperationTimes;
+use crate::predecessor::InheritedRuns;
 use crate::reading::Reading;
 use crate::regulator::Regulator;
 use crate::retries::Retries;
@@ -61,6 +62,7 @@
     health: Health,
     standstill: StandstillDetector,
     runnable_bound: RunnableBound,
+    inherited: InheritedRuns,
     /// Number of runs on the cores that began to linger in the present control period, because a command to
     /// stop them was not confirmed.
     stopped_in_period: f64,
@@ -128,6 +130,7 @@
             health: Health::new(started_at),
             standstill: StandstillDetector::default(),
             runnable_bound: RunnableBound::default(),
+            inherited: InheritedRuns::default(),
             stopped_in_period: 0.0,
             last_start: started_at,
             draining: Draining::new(&deployment),
@@ -138,6 +141,13 @@
         }
     }
 
+    /// Takes into account that an earlier process of this server may have left runs on the cores and calls at
+    /// the shared dependency. To be called before the first event.
+    pub fn expect_predecessor(&mut self, now: Nanos) {
+        self.inherited.assume(self.deployment.cores, now);
+        self.calls.expect_predecessor();
+    }
+
     /// Applies `change` to the settings of fair queueing, such as the weights of tenants and the burst size.
     pub fn reconfigure_fair_queueing(&mut self, now: Nanos, change: &SettingsChange) {
         if let Some(fair) = self.quotas.fair_queue() {
--- a/crates/overload-control/src/controller/conditions.rs
+++ b/crates/overload-control/src/controller/conditions.rs
@@ -70,7 +70,7 @@
     /// Maximum number of runs that may be on the cores: nothing has excluded that they are there.
     pub(super) fn possibly_running(&self) -> f64 {
         let states = [InvocationState::Running, InvocationState::Unconfirmed, InvocationState::Lingering];
-        self.invocations.count(&states)
+        self.invocations.count(&states) + self.inherited.bound()
     }
 
     /// Returns the runs by which the limits decide whether another run may start.
@@ -79,7 +79,8 @@
     }
 
     /// Number of open runs. An open run is on a core, waits to make a downstream call, or has a downstream
-    /// call in progress. Unconfirmed and lingering runs are included, because any of them may be open.
+    /// call in progress. Unconfirmed, lingering and inherited runs are included, because any of them may be
+    /// open.
     pub(super) fn open_runs(&self) -> f64 {
         let states = [
             InvocationState::Running,
@@ -88,7 +89,7 @@
             InvocationState::AwaitingCall,
             InvocationState::Calling,
         ];
-        self.invocations.count(&states)
+        self.invocations.count(&states) + self.inherited.bound()
     }
 
     pub(super) fn open_calls(&self) -> OpenCalls {
--- a/crates/overload-control/src/controller/lingering_runs.rs
+++ b/crates/overload-control/src/controller/lingering_runs.rs
@@ -101,6 +101,8 @@
             }
         }
         self.abandon_beyond_bound(runnable, host);
+        let own = self.possibly_running() - self.inherited.bound();
+        self.inherited.observe_gauge(runnable, own);
         self.stopped_in_period = 0.0;
     }
 
@@ -130,8 +132,10 @@
         }
     }
 
-    /// Takes account of the end of a run that started at `started`, for runs that cannot be stopped.
+    /// Takes account of the end of a run that started at `started`, for inherited runs and for runs that cannot
+    /// be stopped.
     pub(super) fn observe_successor(&mut self, started: Nanos) {
+        self.inherited.observe_end(started, self.now);
         let can_stop = self.deployment.preemption != Preemption::Unsupported;
         if can_stop || self.invocations.count(&[InvocationState::Lingering]) == 0.0 {
             return;
--- a/crates/overload-control/src/downstream_calls.rs
+++ b/crates/overload-control/src/downstream_calls.rs
@@ -67,6 +67,13 @@
         }
     }
 
+    /// Takes into account that an earlier process of this server may have spent the call budget.
+    pub fn expect_predecessor(&mut self) {
+        if let Some(budget) = &mut self.budget {
+            budget.spend_all();
+        }
+    }
+
     /// Refills the call budget, if there is one, for the time `elapsed` since the last refill.
     pub fn advance(&mut self, elapsed: Nanos) {
         if let Some(budget) = &mut self.budget {
--- a/crates/overload-control/src/lib.rs
+++ b/crates/overload-control/src/lib.rs
@@ -28,6 +28,7 @@
 mod log_lines;
 mod memory_limit;
 mod operation_times;
+mod predecessor;
 mod reading;
 mod regulator;
 mod retries;
--- a/crates/overload-control/src/lingering.rs
+++ b/crates/overload-control/src/lingering.rs
@@ -18,6 +18,34 @@
 /// Time after which a stop command is repeated at the earliest.
 const STOP_PERIOD: Nanos = CONTROL_PERIOD;
 
+/// Ends of runs in succession, each of which started after the end of the one before.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Succession {
+    ended: u32,
+    /// Time from which on a run must have started to be the next in succession.
+    next_from: Nanos,
+}
+
+impl Succession {
+    /// Begins a succession with the runs that start at `now` or later.
+    pub fn beginning_at(now: Nanos) -> Self {
+        Self { ended: 0, next_from: now }
+    }
+
+    /// Takes account of the end of a run that started at `started`.
+    pub fn observe_end(&mut self, started: Nanos, now: Nanos) {
+        if started >= self.next_from {
+            self.ended += 1;
+            self.next_from = now;
+        }
+    }
+
+    /// Whether so many runs have ended in succession that a run from before must have ended, too.
+    pub fn is_complete(&self) -> bool {
+        self.ended >= SUCCESSIVE_RUNS
+    }
+}
+
 /// Evidence from the commands to stop a run.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StopEvidence {
@@ -27,10 +55,10 @@
     received_at: Option<Nanos>,
     /// Whether the run was on the cores when a stop command had no effect on it.
     resisted: bool,
-    /// Number of times that the evidence has spoken against the run.
+    /// Number of stop commands that had no effect between two signs of progress.
     absences: u32,
-    /// Time from which on a run must have started to be the next in succession.
-    successor_after: Nanos,
+    /// Runs that ended since the run began to linger.
+    succession: Succession,
 }
 
 impl StopEvidence {
@@ -62,7 +90,7 @@
 
     /// Records that the run began to linger.
     pub fn begin_lingering(&mut self, now: Nanos) {
-        self.successor_after = now;
+        self.succession = Succession::beginning_at(now);
     }
 
     /// Takes account of the most recent progress on the cores. If there was progress after the stop command,
@@ -81,20 +109,16 @@
 
     /// Takes account of the end of another run that started at `started`. Used for runs that cannot be stopped.
     pub fn observe_successor(&mut self, started: Nanos, now: Nanos) {
-        if started >= self.successor_after {
-            self.absences += 1;
-            self.successor_after = now;
-        }
+        self.succession.observe_end(started, now);
     }
 
     /// Whether the evidence excludes the run.
     pub fn excludes_run(&self, preemption: Preemption) -> bool {
-        let needed = match preemption {
-            Preemption::Discards => STOPS_TO_DISCARD,
-            Preemption::Pauses => STOPS_TO_PAUSE,
-            Preemption::Unsupported => SUCCESSIVE_RUNS,
-        };
-        self.absences >= needed
+        match preemption {
+            Preemption::Discards => self.absences >= STOPS_TO_DISCARD,
+            Preemption::Pauses => self.absences >= STOPS_TO_PAUSE,
+            Preemption::Unsupported => self.succession.is_complete(),
+        }
     }
 }
 
--- a/crates/overload-control/tests/scenarios.rs
+++ b/crates/overload-control/tests/scenarios.rs
@@ -8,7 +8,8 @@
 //! - `wait MS` advances the time; `repeat N STEP` repeats one step, and `repeat N` ... `end` several.
 //! - Events: `arrive NAME=VALUE ...` (ids are assigned from 1), `finish ID|all|first [ok|error|cancelled]`,
 //!   `unconfirmed ID` (the command that started or resumed a run may have been lost), `unstopped ID` (the
-//!   command to stop a run was received and no end of the run was reported),
+//!   command to stop a run was received and no end of the run was reported), `predecessor` (an earlier process
+//!   may have left runs on the cores; before all other events),
 //!   `needs ID` (a run has reached its downstream call), `called ID ok|error|unknown|never_ran [MS]` (the
 //!   call has ended), `leave MS` (drain notice) and `gone ID` (the caller cancelled).
 //! - `expect WHAT [opN|ID] = | < | > NUMBER` compares the number of actions since the start or the last
@@ -294,6 +295,7 @@
             }
             "unconfirmed" => controller.on_run_unconfirmed(now, id(), &mut self.host),
             "unstopped" => controller.on_stop_unconfirmed(now, id(), &mut self.host),
+            "predecessor" => controller.expect_predecessor(now),
             "needs" => controller.on_call_needed(now, id(), &mut self.host),
             "called" => {
                 self.host.open_calls -= 1;
@@ -402,6 +404,8 @@
 #[test_case("successive_runs_exclude_one_that_cannot_be_stopped")]
 #[test_case("run_started_again_keeps_its_place")]
 #[test_case("standstill_lowers_the_concurrency_limit")]
+#[test_case("runs_of_a_predecessor_count_until_they_are_excluded")]
+#[test_case("call_budget_of_a_predecessor_is_spent")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
--- a/crates/server/src/event_loop/mod.rs
+++ b/crates/server/src/event_loop/mod.rs
@@ -31,6 +31,9 @@
 /// make the controller apply its rules again, for example when downstream calls become possible.
 const RECHECK_TIMER: u32 = u32::MAX;
 
+/// Time by which the interpreter must be older than this process to have served an earlier process.
+const PREDECESSOR_MARGIN_NS: Nanos = 1_000_000_000;
+
 /// State of the event loop: the overload controller, and the executor of the controller's actions.
 pub struct EventLoop {
     /// The overload controller; `None` until the first link to the interpreter is established.
@@ -230,7 +233,12 @@
             deployment.fair_queueing = Some(tenants.fair.clone());
         }
         let started = server.clock.now().saturating_sub(age);
-        self.controller = Some(Controller::new(deployment, configuration.seed, started, &mut self.actions));
+        let mut controller = Controller::new(deployment, configuration.seed, started, &mut self.actions);
+        if started + PREDECESSOR_MARGIN_NS < server.incarnation {
+            info!("the interpreter is older than this process");
+            controller.expect_predecessor(server.clock.now());
+        }
+        self.controller = Some(controller);
     }
 
     /// Cancels all runs, because the interpreter has lost its runs in a restart. If a second run of an
