Cores that stand still: more plays of preemption, gauges, deadlines, speeds and a cold machine

The double leaves runs out of a gauge, or leaves requests for gauges unanswered, while its cores stand still.

--- a/crates/cli/tests/standing_cores.rs
+++ b/crates/cli/tests/standing_cores.rs
@@ -2,7 +2,7 @@
 //! accepting commands and reporting gauges, and carries out no command to stop a run.
 
 use meadowstream_test_doubles::fleet::{FleetHarness, HarnessOptions, wait_for};
-use meadowstream_test_doubles::interpreter::{InterpreterFaults, RunCounts};
+use meadowstream_test_doubles::interpreter::{InterpreterFaults, RunCounts, Survivable};
 use meadowstream_test_doubles::open_loop::{self, LoadSettings, ReplyCounts};
 use serde_json::{Value, json};
 use std::path::Path;
@@ -17,9 +17,22 @@
 /// Tolerance for the time in which a call is answered, as the protocol grants it.
 const SLACK_MS: u64 = 100;
 
-/// Trouble at the interpreter during one play.
+/// What the gauges say while the cores stand still.
+#[derive(Clone, Copy, PartialEq)]
+enum GaugesInTrouble {
+    CountRuns,
+    HideRuns,
+    Unanswered,
+}
+
+/// One play: the operation, the machine, and the trouble at the interpreter.
 #[derive(Clone, Copy)]
-struct Trouble {
+struct Case {
+    effect: &'static str,
+    give_up: Duration,
+    preemption: &'static str,
+    survivable: Survivable,
+    gauges: GaugesInTrouble,
     /// Speed of the cores while they are in trouble, as a ratio of full speed.
     speed: f64,
     /// Time for which the cores are in trouble, and then for which they have full speed. The two times follow
@@ -32,14 +45,21 @@
     loses_commands: Duration,
 }
 
-const STANDING: Trouble = Trouble {
+const WARM: Survivable =
+    Survivable { ratio: 8.0, window: Duration::from_millis(1_500), cold_speed: 1.0, warm_up: Duration::ZERO };
+const STANDING: Case = Case {
+    effect: "repeatable",
+    give_up: Duration::from_millis(600),
+    preemption: "discard",
+    survivable: WARM,
+    gauges: GaugesInTrouble::CountRuns,
     speed: 0.0,
     troubled: Duration::from_secs(8),
     healthy: Duration::from_secs(3),
     resets_link: None,
     loses_commands: Duration::ZERO,
 };
-const STANDING_AND_RESET: Trouble = Trouble {
+const STANDING_AND_RESET: Case = Case {
     resets_link: Some(Duration::from_millis(600)),
     loses_commands: Duration::from_millis(30),
     ..STANDING
@@ -60,15 +80,20 @@
         "window": micros}])
 }
 
-fn apply(trouble: &Trouble, faults: &InterpreterFaults, span: Duration) {
+fn apply(case: &Case, faults: &InterpreterFaults, span: Duration) {
+    match case.gauges {
+        GaugesInTrouble::CountRuns => {}
+        GaugesInTrouble::HideRuns => faults.hide_standing_runs(),
+        GaugesInTrouble::Unanswered => faults.ignore_gauge_requests(),
+    }
     let began = Instant::now();
-    let mut next_reset = trouble.resets_link;
+    let mut next_reset = case.resets_link;
     while began.elapsed() < span {
-        let in_cycle = began.elapsed().as_micros() % (trouble.troubled + trouble.healthy).as_micros();
-        let is_troubled = in_cycle >= trouble.healthy.as_micros();
-        faults.set_speed(if is_troubled { trouble.speed } else { 1.0 });
-        if let (Some(at), Some(period)) = (next_reset, trouble.resets_link) {
-            if began.elapsed() + trouble.loses_commands >= at {
+        let in_cycle = began.elapsed().as_micros() % (case.troubled + case.healthy).as_micros();
+        let is_troubled = in_cycle >= case.healthy.as_micros();
+        faults.set_speed(if is_troubled { case.speed } else { 1.0 });
+        if let (Some(at), Some(period)) = (next_reset, case.resets_link) {
+            if began.elapsed() + case.loses_commands >= at {
                 faults.ignore_commands();
             }
             if began.elapsed() >= at {
@@ -81,18 +106,13 @@
     faults.set_speed(1.0);
 }
 
-fn play(
-    seed: u64,
-    effect: &str,
-    give_up: Duration,
-    preemption: &str,
-    trouble: &Trouble,
-    span: Duration,
-) -> Play {
-    let options = if effect == "by_key" { r#"<tokens field="token"/>"#.to_string() } else { String::new() };
+fn play(seed: u64, case: &Case, span: Duration) -> Play {
+    let Case { effect, give_up, preemption, survivable, .. } = *case;
+    let options = if effect == "by_key" { r#"<tokens field="token"/>"# } else { "" };
     let options = HarnessOptions {
         cores: CORES,
-        options,
+        survivable,
+        options: options.to_string(),
         settings: vec![
             ("grades", operations(effect, give_up)),
             ("family-info/preemption", json!(preemption)),
@@ -115,7 +135,7 @@
     };
     let load = open_loop::start_with(to, load);
     let faults = fleet.interpreter_faults(0).unwrap();
-    apply(trouble, &faults, span);
+    apply(case, &faults, span);
     let replies = load.join().unwrap();
     fleet.signal_and_keep(0, "TERM").unwrap();
     let status = wait_for(START_MAX, || fleet.exit_status(0)).expect("an ended server");
@@ -136,7 +156,8 @@
 }
 
 impl Play {
-    fn assert_rules(&self, effect: &str, give_up: Duration) {
+    fn assert_rules(&self, case: &Case) {
+        let Case { effect, give_up, .. } = *case;
         let Self { replies, most_mean, most_load, repeated, begun_again, counters } = self;
         println!(
             "{effect}: at most {most_mean:.1} runs on average, {most_load:.2} of what is survived; {replies:?}; {counters:?}"
@@ -153,15 +174,25 @@
 
 /// The mean number of runs on the cores must stay within what the machine survives, although runs that were
 /// answered and told to stop are still there.
-#[test_case(1, "repeatable", STANDING; "repeatable")]
-#[test_case(2, "repeatable", STANDING_AND_RESET; "repeatable with resets")]
-#[test_case(3, "by_key", STANDING; "with keys")]
-#[test_case(4, "by_key", STANDING_AND_RESET; "with keys and resets")]
-#[test_case(5, "once", STANDING; "once")]
-#[test_case(6, "once", STANDING_AND_RESET; "once with resets")]
-fn standing_cores_are_not_overloaded(seed: u64, effect: &str, trouble: Trouble) {
-    let give_up = Duration::from_millis(600);
-    play(seed, effect, give_up, "discard", &trouble, Duration::from_secs(22)).assert_rules(effect, give_up);
+#[test_case(1, STANDING; "repeatable")]
+#[test_case(2, STANDING_AND_RESET; "repeatable with resets")]
+#[test_case(3, Case { effect: "by_key", ..STANDING }; "with keys")]
+#[test_case(4, Case { effect: "by_key", ..STANDING_AND_RESET }; "with keys and resets")]
+#[test_case(5, Case { effect: "once", ..STANDING }; "once")]
+#[test_case(6, Case { effect: "once", ..STANDING_AND_RESET }; "once with resets")]
+#[test_case(8, Case { effect: "once", preemption: "off", ..STANDING_AND_RESET }; "unstoppable with resets")]
+#[test_case(9, Case { preemption: "freeze", ..STANDING_AND_RESET }; "paused with resets")]
+#[test_case(10, Case { gauges: GaugesInTrouble::HideRuns, ..STANDING }; "hidden from the gauges")]
+#[test_case(11, Case { gauges: GaugesInTrouble::Unanswered, ..STANDING_AND_RESET }; "gauges unanswered")]
+#[test_case(12, Case { give_up: Duration::from_millis(300), ..STANDING }; "short deadlines")]
+#[test_case(13, Case { give_up: Duration::from_millis(2_000), ..STANDING_AND_RESET }; "long deadlines")]
+#[test_case(14, Case { troubled: Duration::from_millis(400), healthy: Duration::from_millis(400), ..STANDING };
+    "short standstills")]
+#[test_case(15, Case { effect: "once", speed: 0.03, ..STANDING_AND_RESET }; "slow with resets")]
+#[test_case(16, Case { survivable: Survivable { cold_speed: 0.2, warm_up: Duration::from_secs(12), ..WARM },
+    ..STANDING }; "cold")]
+fn standing_cores_are_not_overloaded(seed: u64, case: Case) {
+    play(seed, &case, Duration::from_secs(22)).assert_rules(&case);
 }
 
 /// Runs that a killed server left on standing cores must count against what its successors start.
--- a/crates/test-doubles/src/interpreter/faults.rs
+++ b/crates/test-doubles/src/interpreter/faults.rs
@@ -10,6 +10,8 @@
     speed: AtomicU64,
     resets_link: AtomicBool,
     ignores_commands: AtomicBool,
+    hides_standing_runs: AtomicBool,
+    ignores_gauge_requests: AtomicBool,
 }
 
 impl Default for InterpreterFaults {
@@ -18,6 +20,8 @@
             speed: AtomicU64::new(FULL_SPEED),
             resets_link: AtomicBool::default(),
             ignores_commands: AtomicBool::default(),
+            hides_standing_runs: AtomicBool::default(),
+            ignores_gauge_requests: AtomicBool::default(),
         }
     }
 }
@@ -29,6 +33,16 @@
         self.speed.store((ratio * FULL_SPEED as f64) as u64, Relaxed);
     }
 
+    /// Leaves runs out of the gauge of runnable threads while the cores stand still.
+    pub fn hide_standing_runs(&self) {
+        self.hides_standing_runs.store(true, Relaxed);
+    }
+
+    /// Leaves requests for the gauges without an answer while the cores stand still.
+    pub fn ignore_gauge_requests(&self) {
+        self.ignores_gauge_requests.store(true, Relaxed);
+    }
+
     /// Resets the present link. Commands that the interpreter has not read are lost.
     pub fn reset_link(&self) {
         self.resets_link.store(true, Relaxed);
@@ -53,6 +67,14 @@
         resets
     }
 
+    pub(super) fn hides_standing_runs(&self) -> bool {
+        self.hides_standing_runs.load(Relaxed)
+    }
+
+    pub(super) fn ignores_gauge_requests(&self) -> bool {
+        self.ignores_gauge_requests.load(Relaxed)
+    }
+
     pub(super) fn ignores_commands(&self) -> bool {
         self.ignores_commands.load(Relaxed)
     }
--- a/crates/test-doubles/src/interpreter/machine.rs
+++ b/crates/test-doubles/src/interpreter/machine.rs
@@ -210,6 +210,7 @@
                 }
             }
             Some("BREAK") => self.halt(task, notices),
+            Some("TOP") if self.speed == 0.0 && self.faults.ignores_gauge_requests() => {}
             Some("TOP") => notices.push(self.read_gauges(command, now)),
             _ => notices.push(json!({"verb": "ERROR", "outcome": command["verb"], "task": task})),
         }
@@ -258,7 +259,9 @@
         let span_us = now.duration_since(self.gauges_read).as_secs_f64() * 1e6;
         let utilization = (self.busy_us / span_us.max(1.0) / self.cores).min(1.0);
         (self.busy_us, self.gauges_read) = (0.0, now);
-        let readings = [utilization, self.runs_on_cores() as f64];
+        let is_hidden = self.speed == 0.0 && self.faults.hides_standing_runs();
+        let runnable = if is_hidden { 0 } else { self.runs_on_cores() };
+        let readings = [utilization, runnable as f64];
         json!({"verb": "TOPS", "nonce": command["nonce"], "readings": readings})
     }
 }
