--- a/crates/server/src/connection/accept.rs
+++ b/crates/server/src/connection/accept.rs
@@ -5,6 +5,8 @@
 use crate::server::Server;
 use async_io::{Async, Timer};
 use futures_lite::future;
+use rustix::io::Errno;
+use std::io::{Error, ErrorKind};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,10 +23,36 @@
     Empty,
     /// At least one waiting connection was accepted, and now no connection is waiting.
     Accepted,
-    /// No file descriptor is available, so connections may still be waiting.
+    /// Connections may still be waiting, because no file descriptor is available or the attempts to accept
+    /// failed.
     Waiting,
 }
 
+/// Maximum number of successive errors of single connections after which accepting waits.
+const ERRORS_MAX: usize = 32;
+
+/// What is done after a failed attempt to accept a connection.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum AfterError {
+    /// The error concerns a connection that has already ended. The next one can be accepted at once.
+    AcceptNext,
+    /// The process has no free file descriptor. Idle connections must give way.
+    FreeDescriptor,
+    /// The machine lacks a resource for the moment.
+    Wait,
+}
+
+impl AfterError {
+    fn of(error: &Error) -> Self {
+        match error.raw_os_error().map(Errno::from_raw_os_error) {
+            Some(Errno::MFILE) => Self::FreeDescriptor,
+            Some(Errno::NFILE | Errno::NOBUFS | Errno::NOMEM) => Self::Wait,
+            // Errors of the network that are pending on the new connection, and interruptions by signals.
+            _ => Self::AcceptNext,
+        }
+    }
+}
+
 /// Accepts connections until the drain is over or the process is about to stop, then closes the listener.
 ///
 /// During the drain, the server still accepts connections, because some callers learn late that the server is
@@ -32,11 +60,14 @@
 pub async fn accept(server: Rc<Server>, listener: Async<TcpListener>) {
     let mut exhausted = false;
     loop {
-        if drain::is_over(&server) && accept_backlog(&server, &listener) != Backlog::Accepted {
+        if drain::is_over(&server) && accept_backlog(&server, &listener) == Backlog::Empty {
             return;
         }
-        if !server.drain.accepts_connections() && accept_backlog(&server, &listener) != Backlog::Waiting {
-            return;
+        if !server.drain.accepts_connections() {
+            if accept_backlog(&server, &listener) != Backlog::Waiting {
+                return;
+            }
+            Timer::after(RETRY_AFTER).await;
         }
         let Some(descriptor) = server.descriptors.reserve_for_connection() else {
             free_descriptor(&server, &mut exhausted).await;
@@ -51,7 +82,11 @@
             Some(Err(error)) => {
                 server.counters.accepts_failed.add();
                 warn!(%error, "cannot accept");
-                free_descriptor(&server, &mut exhausted).await;
+                match AfterError::of(&error) {
+                    AfterError::AcceptNext => future::yield_now().await,
+                    AfterError::FreeDescriptor => free_descriptor(&server, &mut exhausted).await,
+                    AfterError::Wait => drop(Timer::after(RETRY_AFTER).await),
+                }
             }
         }
     }
@@ -74,16 +109,26 @@
 /// Accepts all connections that wait in the kernel's queue, as long as file descriptors are available.
 ///
 /// Called before the listener is closed. Closing the listener would reset the waiting connections, and their
-/// unread calls would be lost. If no connection is waiting, the caller closes the listener at once, without
+/// unread calls would be lost. A failed attempt does not show that none is waiting. If no connection is waiting, the caller closes the listener at once, without
 /// yielding to another task.
 fn accept_backlog(server: &Rc<Server>, listener: &Async<TcpListener>) -> Backlog {
     let mut backlog = Backlog::Empty;
+    let mut errors = 0;
     while let Some(descriptor) = server.descriptors.reserve_for_connection() {
-        let Ok(stream) = listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream)) else {
-            return backlog;
-        };
-        task::spawn(server, stream, descriptor);
-        backlog = Backlog::Accepted;
+        match listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream)) {
+            Ok(stream) => {
+                task::spawn(server, stream, descriptor);
+                (backlog, errors) = (Backlog::Accepted, 0);
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return backlog,
+            Err(error) => {
+                server.counters.accepts_failed.add();
+                errors += 1;
+                if AfterError::of(&error) != AfterError::AcceptNext || errors == ERRORS_MAX {
+                    return Backlog::Waiting;
+                }
+            }
+        }
     }
     Backlog::Waiting
 }
