--- a/crates/server/src/calls/task.rs
+++ b/crates/server/src/calls/task.rs
@@ -3,12 +3,12 @@
 
 use crate::event::Event;
 use crate::server::Server;
-use crate::server::receive;
+use crate::sockets;
 use crate::wire::Parsed;
 use crate::wire::http;
 use crate::wire::ring::Ring;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncWriteExt, future};
+use futures_lite::future;
 use meadowstream_overload_control::{Nanos, Outcome};
 use std::cell::Cell;
 use std::io::{ErrorKind, Result};
@@ -105,7 +105,7 @@
 
 async fn send(
     server: &Server,
-    mut stream: &Async<TcpStream>,
+    stream: &Async<TcpStream>,
     to: SocketAddr,
     call: &Call,
     written: &Cell<bool>,
@@ -118,7 +118,7 @@
             debug!(number = call.number, "call not sent: permitted too long ago");
             return Err(ErrorKind::TimedOut.into());
         }
-        let count = stream.write(rest).await?;
+        let count = sockets::send(stream, rest).await?;
         if !written.replace(true) {
             debug!(number = call.number, reference = format!("{:016x}", call.reference), "call sent");
         }
@@ -130,7 +130,7 @@
 async fn receive_reply(stream: &Async<TcpStream>) -> Result<ReceivedReply> {
     let mut ring = Ring::new(http::REPLY_MAX);
     loop {
-        receive(stream, &mut ring).await?;
+        sockets::receive(stream, &mut ring).await?;
         match http::reply(ring.front()) {
             Parsed::Incomplete => {}
             Parsed::Complete(reply, length) => {
--- a/crates/server/src/interpreter/commands.rs
+++ b/crates/server/src/interpreter/commands.rs
@@ -1,11 +1,11 @@
 //! Queue of the commands that wait to be written to a link. Counts the written bytes, so that after the loss
 //! of the link it is known which commands the interpreter cannot have received.
 
+use crate::sockets;
 use async_channel::{Receiver, Sender, TrySendError};
 use async_io::Async;
-use futures_lite::AsyncWriteExt;
 use std::cell::Cell;
-use std::io::{ErrorKind, Result};
+use std::io::Result;
 use std::net::TcpStream;
 use std::rc::Rc;
 
@@ -80,13 +80,10 @@
         Ok(())
     }
 
-    async fn write_batch(&self, mut stream: &Async<TcpStream>, batch: &[u8]) -> Result<()> {
+    async fn write_batch(&self, stream: &Async<TcpStream>, batch: &[u8]) -> Result<()> {
         let mut rest = batch;
         while !rest.is_empty() {
-            let written = stream.write(rest).await?;
-            if written == 0 {
-                return Err(ErrorKind::WriteZero.into());
-            }
+            let written = sockets::send(stream, rest).await?;
             self.written_bytes.set(self.written_bytes.get() + written as u64);
             rest = &rest[written..];
         }
--- a/crates/server/src/interpreter/link.rs
+++ b/crates/server/src/interpreter/link.rs
@@ -6,12 +6,12 @@
 use crate::interpreter::incarnation::Incarnation;
 use crate::interpreter::reader::NoticeReader;
 use crate::server::Server;
-use crate::server::receive;
+use crate::sockets::{self, receive};
 use crate::wire::interpreter;
 use crate::wire::interpreter::Notice;
 use crate::wire::ring::Ring;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncWriteExt, future};
+use futures_lite::future;
 use meadowstream_overload_control::Nanos;
 use meadowstream_overload_control::controller::CONTROL_PERIOD;
 use std::io::{Error, ErrorKind, Result};
@@ -99,7 +99,7 @@
     let stream = with_timeout(incarnation.time_allowance(CONNECT_DIVISOR), connecting).await?;
     stream.get_ref().set_nodelay(true)?;
     let requested = server.clock.now();
-    (&stream).write_all(&interpreter::connect(incarnation.last_read)).await?;
+    sockets::send_all(&stream, &interpreter::connect(incarnation.last_read)).await?;
     let (commands, queue) = commands::queue(COMMANDS_MAX);
     let mut link = Link { server, stream: &stream, commands: Some(commands), requested };
     future::or(link.read(incarnation, linked), queue.write_to(&stream)).await
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod lifecycle;
 mod resources;
 mod server;
+mod sockets;
 mod wire;
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -14,14 +14,9 @@
 use crate::resources::buffers::BufferBudget;
 use crate::resources::counters::Counters;
 use crate::resources::descriptors::Descriptors;
-use crate::wire::ring::Ring;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
-use async_io::Async;
-use futures_lite::AsyncReadExt;
 use std::cell::Cell;
-use std::io::{ErrorKind, Result};
-use std::net::TcpStream;
 use std::rc::Rc;
 
 /// State that all tasks of the server share. The tasks run on a single thread.
@@ -74,20 +69,3 @@
         self.leave_signal.is_closed()
     }
 }
-
-/// Maximum number of bytes that one read from a socket returns.
-const READ_MAX_BYTES: usize = 8 * 1024;
-
-/// Waits for bytes from a stream and appends them to `ring`. Afterwards the contents of `ring` are contiguous
-/// in memory. Returns an error if the stream has ended.
-pub async fn receive(mut stream: &Async<TcpStream>, ring: &mut Ring) -> Result<()> {
-    let mut chunk = [0; READ_MAX_BYTES];
-    let free = ring.free().min(chunk.len());
-    let count = stream.read(&mut chunk[..free]).await?;
-    if count == 0 {
-        return Err(ErrorKind::UnexpectedEof.into());
-    }
-    let _ = ring.put(&chunk[..count]);
-    ring.make_contiguous();
-    Ok(())
-}
