--- a/crates/cli/tests/machine_faults.rs
+++ b/crates/cli/tests/machine_faults.rs
@@ -1,5 +1,6 @@
-//! Runs the program on a machine whose system calls fail and whose wall clock is stepped. The faults come from
-//! the fault shim, which is preloaded into the program alone. A play in which no fault came has failed.
+//! Runs the program on a machine whose system calls fail and whose wall clock is stepped. The faults come
+//! from the fault shim, which is preloaded into the program alone. A play in which no fault came has
+//! failed.
 
 use meadowstream_fault_shim::{Fault, FaultFile};
 use meadowstream_test_doubles::fleet::{FleetHarness, HarnessOptions, wait_for};
--- a/crates/cli/tests/misbehaving_clients.rs
+++ b/crates/cli/tests/misbehaving_clients.rs
@@ -1,6 +1,6 @@
-//! Runs the program among clients that stall, flood or leave, beside an ordinary load. The ordinary load must be
-//! answered in time, the memory of the process must stay within its limit, and nothing may run for a client
-//! that is known to have left.
+//! Runs the program among clients that stall, flood or leave, beside an ordinary load. The ordinary load
+//! must be answered in time, the memory of the process must stay within its limit, and nothing may run for
+//! a client that is known to have left.
 
 use meadowstream_test_doubles::fleet::{FleetHarness, HarnessOptions, wait_for};
 use meadowstream_test_doubles::open_loop::{self, LoadSettings, ReplyCounts};
@@ -205,8 +205,8 @@
     assert_ordinary_load_is_served(&fleet, &replies);
 }
 
-/// Clients that write thirty requests, stay for some time and close. Some of their ids come again, after 0.3 s,
-/// from a client that stays.
+/// Clients that write thirty requests, stay for some time and close. Some of their ids come again, after
+/// 0.3 s, from a client that stays.
 fn play_leaving_clients(seed: u64, effect: &str, stay: Duration) -> (FleetHarness, u64) {
     let (fleet, to) = start(seed, effect);
     let (began, mut reference, mut again) = (Instant::now(), seed << 40, 0);
--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -29,7 +29,8 @@
     let Totals { sent, succeeded, crossed, unsent, descriptors, stalled_ms } = totals;
     format!(
         "seed {}: {} servers, {:.0} a second, {sent} sent, {succeeded} succeeded, {crossed} crossed, \
-         {unsent} unsent, {descriptors} descriptors, machine stalled for {stalled_ms} ms\n  {:?}\n  {}\n{violations}",
+         {unsent} unsent, {descriptors} descriptors, machine stalled for {stalled_ms} ms\n  {:?}\n  {}\n\
+         {violations}",
         plan.seed,
         plan.servers,
         plan.rate,
--- a/crates/cli/tests/standing_cores.rs
+++ b/crates/cli/tests/standing_cores.rs
@@ -11,7 +11,8 @@
 use test_case::test_case;
 
 const CORES: f64 = 6.0;
-/// Calls per second. Each uses 0.05 to 0.3 s of core time, so that the cores are overloaded at full speed, too.
+/// Calls per second. Each uses 0.05 to 0.3 s of core time, so that the cores are overloaded at full speed,
+/// too.
 const RATE: f64 = 80.0;
 const START_MAX: Duration = Duration::from_secs(20);
 /// Tolerance for the time in which a call is answered, as the protocol grants it.
@@ -65,6 +66,9 @@
     ..STANDING
 };
 
+const STANDING_BRIEFLY: Case =
+    Case { troubled: Duration::from_millis(400), healthy: Duration::from_millis(400), ..STANDING };
+
 struct Play {
     replies: ReplyCounts,
     most_mean: f64,
@@ -160,7 +164,8 @@
         let Case { effect, give_up, .. } = *case;
         let Self { replies, most_mean, most_load, repeated, begun_again, counters } = self;
         println!(
-            "{effect}: at most {most_mean:.1} runs on average, {most_load:.2} of what is survived; {replies:?}; {counters:?}"
+            "{effect}: at most {most_mean:.1} runs on average, {most_load:.2} of what is survived; \
+             {replies:?}; {counters:?}"
         );
         assert!(*most_load <= 1.0, "{most_mean:.1} runs on the cores, {most_load:.2} of what is survived");
         assert_eq!((replies.unanswered, replies.unexpected), (0, 0), "{replies:?}");
@@ -186,8 +191,7 @@
 #[test_case(11, Case { gauges: GaugesInTrouble::Unanswered, ..STANDING_AND_RESET }; "gauges unanswered")]
 #[test_case(12, Case { give_up: Duration::from_millis(300), ..STANDING }; "short deadlines")]
 #[test_case(13, Case { give_up: Duration::from_millis(2_000), ..STANDING_AND_RESET }; "long deadlines")]
-#[test_case(14, Case { troubled: Duration::from_millis(400), healthy: Duration::from_millis(400), ..STANDING };
-    "short standstills")]
+#[test_case(14, STANDING_BRIEFLY; "short standstills")]
 #[test_case(15, Case { effect: "once", speed: 0.03, ..STANDING_AND_RESET }; "slow with resets")]
 #[test_case(16, Case { survivable: Survivable { cold_speed: 0.2, warm_up: Duration::from_secs(12), ..WARM },
     ..STANDING }; "cold")]
--- a/crates/fault-shim/src/interposed.rs
+++ b/crates/fault-shim/src/interposed.rs
@@ -27,8 +27,8 @@
     errors[(cells.random() % errors.len() as u64) as usize]
 }
 
-/// Returns the function of the C library with this name, which is looked up once. Used in unsafe blocks only: the
-/// type must be that with which the C library declares the function.
+/// Returns the function of the C library with this name, which is looked up once. Used in unsafe blocks
+/// only: the type must be that with which the C library declares the function.
 macro_rules! next {
     ($name:literal, $type:ty) => {{
         static FOUND: OnceLock<usize> = OnceLock::new();
--- a/crates/overload-control/src/concurrency_limit.rs
+++ b/crates/overload-control/src/concurrency_limit.rs
@@ -79,8 +79,8 @@
         self.warm_up.speed_ratio(now)
     }
 
-    /// Returns the number of open runs beyond which the server collapses. The number is lower while the server
-    /// warms up.
+    /// Returns the number of open runs beyond which the server collapses. The number is lower while the
+    /// server warms up.
     pub fn collapse(&self, now: Nanos) -> f64 {
         let speed = self.warm_up.speed_ratio(now);
         self.cores * (1.0 + (self.survivable_ratio - 1.0) * speed)
@@ -95,11 +95,11 @@
     /// Adapts the limit to the load of the last control period.
     ///
     /// The limit grows if runs reach it while the cores are below their target utilization: the runs then
-    /// wait for something other than a core. If the limit does not grow, it shrinks in two cases: concurrent
-    /// runs slow each other down, or the cores are above their target utilization. Without progress on the
-    /// cores, the limit does not grow, because a low utilization may mean that they stand still. Once they do,
-    /// the limit is the number of cores. The limit stays between the number of cores and the maximum number
-    /// of open runs.
+    /// wait for something other than a core. If the limit does not grow, it shrinks in two cases:
+    /// concurrent runs slow each other down, or the cores are above their target utilization. Without
+    /// progress on the cores, the limit does not grow, because a low utilization may mean that they stand
+    /// still. Once they do, the limit is the number of cores. The limit stays between the number of cores
+    /// and the maximum number of open runs.
     pub fn adapt(&mut self, now: Nanos, load: &Load) {
         let binds = load.is_queueing && load.running + 1.0 > self.limit && !load.lacks_progress;
         if load.are_cores_standing_still {
--- a/crates/overload-control/src/controller.rs
+++ b/crates/overload-control/src/controller.rs
@@ -2,11 +2,11 @@
 //! to act.
 //!
 //! The host calls `on_arrival`, `on_run_finished`, `on_run_unconfirmed`, `on_stop_unconfirmed`,
-//! `on_call_needed`, `on_call_finished`, `on_drain_notice`, `on_caller_gone` and `on_timer`. Each event updates the
-//! controller's measurements. The controller then evaluates `RULES` in order. After each rule that acts,
-//! evaluation starts again from the first rule, and it ends when no rule acts. Actions are calls to the
-//! [`Host`] passed with the event. `docs/design.md` lists the parts of the controller taken from the paper,
-//! and the deviations from the paper.
+//! `on_call_needed`, `on_call_finished`, `on_drain_notice`, `on_caller_gone` and `on_timer`. Each event
+//! updates the controller's measurements. The controller then evaluates `RULES` in order. After each rule
+//! that acts, evaluation starts again from the first rule, and it ends when no rule acts. Actions are
+//! calls to the [`Host`] passed with the event. `docs/design.md` lists the parts of the controller taken
+//! from the paper, and the deviations from the paper.
 
 mod conditions;
 mod events;
--- a/crates/overload-control/src/controller/lingering_runs.rs
+++ b/crates/overload-control/src/controller/lingering_runs.rs
@@ -52,8 +52,8 @@
         self.invocations[key].stop.begin_lingering(self.now);
     }
 
-    /// Keeps a run in the counts that may have been lost, after its invocation was answered. The host has told
-    /// the run to stop, if it can.
+    /// Keeps a run in the counts that may have been lost, after its invocation was answered. The host has
+    /// told the run to stop, if it can.
     pub(super) fn linger_after_loss(&mut self, key: usize) {
         self.linger(key);
         self.invocations[key].stop.record_sent(self.now);
@@ -132,8 +132,8 @@
         }
     }
 
-    /// Takes account of the end of a run that started at `started`, for inherited runs and for runs that cannot
-    /// be stopped.
+    /// Takes account of the end of a run that started at `started`, for inherited runs and for runs that
+    /// cannot be stopped.
     pub(super) fn observe_successor(&mut self, started: Nanos) {
         self.inherited.observe_end(started, self.now);
         let can_stop = self.deployment.preemption != Preemption::Unsupported;
--- a/crates/overload-control/src/controller/rules.rs
+++ b/crates/overload-control/src/controller/rules.rs
@@ -311,8 +311,8 @@
     }
 
     /// Marks an invocation as answered and removes it. If its run or downstream call is in progress, the
-    /// invocation is kept until the run or call ends. An unconfirmed run lingers, because news of it may never
-    /// come; the host tells it to stop.
+    /// invocation is kept until the run or call ends. An unconfirmed run lingers, because news of it may
+    /// never come; the host tells it to stop.
     pub(super) fn close(&mut self, key: usize, host: &mut dyn Host) {
         let effect = self.effect(&self.invocations[key]);
         self.keys.forget_unless_run(&self.invocations[key], effect, host);
--- a/crates/overload-control/src/invocations.rs
+++ b/crates/overload-control/src/invocations.rs
@@ -260,8 +260,8 @@
         self.active.values().map(|key| (*key, &self.all[*key]))
     }
 
-    /// Returns the keys of the invocations that satisfy `condition` among those that are not pending, in order
-    /// of arrival.
+    /// Returns the keys of the invocations that satisfy `condition` among those that are not pending, in
+    /// order of arrival.
     pub fn keys_where(&self, condition: impl Fn(&Invocation) -> bool) -> Vec<usize> {
         self.active().filter(|(_, invocation)| condition(invocation)).map(|(key, _)| key).collect()
     }
--- a/crates/overload-control/src/lib.rs
+++ b/crates/overload-control/src/lib.rs
@@ -50,8 +50,8 @@
     /// Starts a run again that may have been lost. If the run is on the cores after all, the command has no
     /// effect. Called only for operations that are idempotent.
     fn restart_run(&mut self, _invocation: u64) {}
-    /// Ends the wait for the end of a run that evidence has excluded. The invocation was answered. Called only
-    /// for runs that the host has reported as unconfirmed, or whose stop command it has reported as
+    /// Ends the wait for the end of a run that evidence has excluded. The invocation was answered. Called
+    /// only for runs that the host has reported as unconfirmed, or whose stop command it has reported as
     /// unconfirmed.
     fn abandon_run(&mut self, _invocation: u64) {}
     /// Rejects an invocation that the caller may safely repeat. An invocation that is not idempotent is
--- a/crates/overload-control/src/lingering.rs
+++ b/crates/overload-control/src/lingering.rs
@@ -107,7 +107,8 @@
         }
     }
 
-    /// Takes account of the end of another run that started at `started`. Used for runs that cannot be stopped.
+    /// Takes account of the end of another run that started at `started`. Used for runs that cannot be
+    /// stopped.
     pub fn observe_successor(&mut self, started: Nanos, now: Nanos) {
         self.succession.observe_end(started, now);
     }
--- a/crates/overload-control/src/predecessor.rs
+++ b/crates/overload-control/src/predecessor.rs
@@ -25,8 +25,8 @@
         self.bound
     }
 
-    /// Takes account of a reading of the gauge of runnable threads. `own` is the number of runs of this process
-    /// that may be on the cores. The first reading may also show more runs than were assumed.
+    /// Takes account of a reading of the gauge of runnable threads. `own` is the number of runs of this
+    /// process that may be on the cores. The first reading may also show more runs than were assumed.
     pub fn observe_gauge(&mut self, runnable: Option<f64>, own: f64) {
         let Some(runnable) = runnable.filter(|_| self.bound > 0.0) else { return };
         let others = (runnable - own).max(0.0);
--- a/crates/overload-control/src/standstill.rs
+++ b/crates/overload-control/src/standstill.rs
@@ -37,9 +37,10 @@
         self.lacks_progress
     }
 
-    /// Reviews the cores once in a control period. `oldest_run` is the time at which the oldest of the runs
-    /// that are certainly on the cores entered them, and `last_progress` the time at which a run most recently
-    /// left them. Before the first run has left them, its usual time is not known and nothing is detected.
+    /// Reviews the cores once in a control period. `oldest_run` is the time at which the oldest of the
+    /// runs that are certainly on the cores entered them, and `last_progress` the time at which a run most
+    /// recently left them. Before the first run has left them, its usual time is not known and nothing is
+    /// detected.
     pub fn review(
         &mut self,
         now: Nanos,
--- a/crates/overload-control/tests/scenarios.rs
+++ b/crates/overload-control/tests/scenarios.rs
@@ -1,23 +1,23 @@
 //! Runs the scenario files against a controller with a simulated host. Each line of a file is one step:
 //!
-//! - `site NAME VALUE` changes the deployment, `operation NAME=VALUE ...` adds an operation (by default there
-//!   is one with long deadlines), and `tenant PER_SECOND` adds a tenant. The controller is created at the
-//!   first `wait` or event.
-//! - `busy X` sets the utilization gauge, `wanting X` the number of runnable threads, and `room N` the number
-//!   of downstream calls that the fleet's budget permits at once.
+//! - `site NAME VALUE` changes the deployment, `operation NAME=VALUE ...` adds an operation (by default
+//!   there is one with long deadlines), and `tenant PER_SECOND` adds a tenant. The controller is created
+//!   at the first `wait` or event.
+//! - `busy X` sets the utilization gauge, `wanting X` the number of runnable threads, and `room N` the
+//!   number of downstream calls that the fleet's budget permits at once.
 //! - `wait MS` advances the time; `repeat N STEP` repeats one step, and `repeat N` ... `end` several.
-//! - Events: `arrive NAME=VALUE ...` (ids are assigned from 1), `finish ID|all|first [ok|error|cancelled]`,
-//!   `unconfirmed ID` (the command that started or resumed a run may have been lost), `unstopped ID` (the
-//!   command to stop a run was received and no end of the run was reported), `predecessor` (an earlier process
-//!   may have left runs on the cores; before all other events),
-//!   `needs ID` (a run has reached its downstream call), `called ID ok|error|unknown|never_ran [MS]` (the
-//!   call has ended), `leave MS` (drain notice) and `gone ID` (the caller cancelled).
+//! - Events: `arrive NAME=VALUE ...` (ids are assigned from 1), `finish ID|all|first
+//!   [ok|error|cancelled]`, `unconfirmed ID` (the command that started or resumed a run may have been
+//!   lost), `unstopped ID` (the command to stop a run was received and no end of the run was reported),
+//!   `predecessor` (an earlier process may have left runs on the cores; before all other events), `needs
+//!   ID` (a run has reached its downstream call), `called ID ok|error|unknown|never_ran [MS]` (the call
+//!   has ended), `leave MS` (drain notice) and `gone ID` (the caller cancelled).
 //! - `expect WHAT [opN|ID] = | < | > NUMBER` compares the number of actions since the start or the last
 //!   `forget` step, for one operation or invocation if given. WHAT is an action: run, throttle, promise,
-//!   give_up, answer, stop, restart, abandon, call, remember, forget, reuse, healthy, unhealthy, or last (rejections that
-//!   advise against a retry elsewhere). WHAT may also be a value: advert (last advertised load, hundredths),
-//!   away (longest Retry-After, ms), patience (timeout of the last call, ms), idle (timeout of idle
-//!   connections, ms) or most (maximum number of concurrent runs).
+//!   give_up, answer, stop, restart, abandon, call, remember, forget, reuse, healthy, unhealthy, or last
+//!   (rejections that advise against a retry elsewhere). WHAT may also be a value: advert (last advertised
+//!   load, hundredths), away (longest Retry-After, ms), patience (timeout of the last call, ms), idle
+//!   (timeout of idle connections, ms) or most (maximum number of concurrent runs).
 
 use meadowstream_overload_control::{
     Advertisement, Arrival, Deployment, Downstream, Effect, Gauges, Host, Nanos, Operation, Outcome,
@@ -61,7 +61,8 @@
 }
 
 impl Host for Recorder {
-    record_actions! { stop_run "stop" restart_run "restart" abandon_run "abandon" skip_call "skip_call" forget_key "forget" replay_result "reuse" }
+    record_actions! { stop_run "stop" restart_run "restart" abandon_run "abandon" skip_call "skip_call" }
+    record_actions! { forget_key "forget" replay_result "reuse" }
     fn start_run(&mut self, id: u64) {
         assert!(!self.running.contains(&id), "invocation {id} is already running");
         self.running.push(id);
--- a/crates/server/src/connection/accept.rs
+++ b/crates/server/src/connection/accept.rs
@@ -108,9 +108,9 @@
 
 /// Accepts all connections that wait in the kernel's queue, as long as file descriptors are available.
 ///
-/// Called before the listener is closed. Closing the listener would reset the waiting connections, and their
-/// unread calls would be lost. A failed attempt does not show that none is waiting. If no connection is waiting, the caller closes the listener at once, without
-/// yielding to another task.
+/// Called before the listener is closed. Closing the listener would reset the waiting connections, and
+/// their unread calls would be lost. A failed attempt does not show that none is waiting. If no connection
+/// is waiting, the caller closes the listener at once, without yielding to another task.
 fn accept_backlog(server: &Rc<Server>, listener: &Async<TcpListener>) -> Backlog {
     let mut backlog = Backlog::Empty;
     let mut errors = 0;
--- a/crates/server/src/connection/table.rs
+++ b/crates/server/src/connection/table.rs
@@ -31,8 +31,8 @@
     },
     /// Send the peer a request to send no more calls on this connection.
     Drain,
-    /// The process is about to stop: close the connection once nothing is open on it, even if its peer goes on
-    /// sending calls.
+    /// The process is about to stop: close the connection once nothing is open on it, even if its peer
+    /// goes on sending calls.
     Close,
     /// Close the connection to free its file descriptor. The connection's task ignores this notification if a
     /// command has arrived in the meantime.
@@ -71,9 +71,9 @@
         }
     }
 
-    /// Queues a notification for the connection's task. Returns false if queueing failed, for example because
-    /// the connection has ended. The queue has space for one answer to each open call, and for one of each other
-    /// notification.
+    /// Queues a notification for the connection's task. Returns false if queueing failed, for example
+    /// because the connection has ended. The queue has space for one answer to each open call, and for one
+    /// of each other notification.
     pub fn notify(&self, notification: Notification) -> bool {
         self.notifications.try_send(notification).is_ok()
     }
--- a/crates/server/src/connection/task.rs
+++ b/crates/server/src/connection/task.rs
@@ -272,8 +272,9 @@
         Ok(())
     }
 
-    /// Reads what has arrived on a connection that is about to be closed. Once nothing is left, stops reading,
-    /// and the connection ends when the last calls are answered. Returns whether calls may have been received.
+    /// Reads what has arrived on a connection that is about to be closed. Once nothing is left, stops
+    /// reading, and the connection ends when the last calls are answered. Returns whether calls may have
+    /// been received.
     fn read_last_calls(&mut self) -> Result<bool> {
         if !self.state.wants_read() {
             return Ok(false);
@@ -305,9 +306,9 @@
         Ok(false)
     }
 
-    /// Handles the end of the incoming stream. The peer may have closed its sending side only, or it may have
-    /// left. If calls are open, the peer is asked to send no more calls: if it has left, its machine resets the
-    /// connection in reply.
+    /// Handles the end of the incoming stream. The peer may have closed its sending side only, or it may
+    /// have left. If calls are open, the peer is asked to send no more calls: if it has left, its machine
+    /// resets the connection in reply.
     fn handle_end_of_stream(&mut self) {
         self.state.handle_end_of_stream();
         if self.state.has_open_calls() {
--- a/crates/server/src/event_loop/actions.rs
+++ b/crates/server/src/event_loop/actions.rs
@@ -110,8 +110,8 @@
         self.set_timer_after(GAUGES_TIMEOUT_NS, Timer::GaugesOverdue { nonce });
     }
 
-    /// Remembers the reference of a run if its operation is not idempotent, so that the reference does not run
-    /// a second time after the invocation has left the table.
+    /// Remembers the reference of a run if its operation is not idempotent, so that the reference does not
+    /// run a second time after the invocation has left the table.
     pub fn remember_run(&mut self, id: u64) {
         let Some(invocation) = self.invocations.get(id) else { return };
         let (operation, reference) = (invocation.operation, invocation.reference);
--- a/crates/server/src/event_loop/link_recovery.rs
+++ b/crates/server/src/event_loop/link_recovery.rs
@@ -221,7 +221,8 @@
     }
 
     /// Gives up waiting for the end of a closed invocation's run if the run's last command may have been
-    /// lost, and tells the run to stop. No notice of the run may ever come. Repeated calls that wait for the outcome fail.
+    /// lost, and tells the run to stop. No notice of the run may ever come. Repeated calls that wait for
+    /// the outcome fail.
     pub fn give_up_lost_run(&mut self, id: u64) {
         let is_lost = |invocation: &&mut Invocation| invocation.may_be_lost && invocation.is_running;
         let Some(invocation) = self.invocations.get(id).filter(is_lost) else { return };
--- a/crates/server/src/lifecycle/clock.rs
+++ b/crates/server/src/lifecycle/clock.rs
@@ -34,9 +34,9 @@
     /// Returns the time that has passed since `since_ms`, in nanoseconds. `since_ms` is a Unix time in
     /// milliseconds that a peer has stated. The result is negative if this time is in the future.
     ///
-    /// The wall clock of this machine or of the peer may have been stepped since this clock was started, and
-    /// also since the peer stated the time. The peer's time is therefore compared with the wall clock and with
-    /// this clock, and the result is the shorter of the two spans.
+    /// The wall clock of this machine or of the peer may have been stepped since this clock was started,
+    /// and also since the peer stated the time. The peer's time is therefore compared with the wall clock
+    /// and with this clock, and the result is the shorter of the two spans.
     pub fn age(&self, since_ms: u64) -> i64 {
         let since = i64::try_from(since_ms).unwrap_or(i64::MAX).saturating_mul(1_000_000);
         let by_wall_clock = (unix() as i64).saturating_sub(since);
--- a/crates/server/src/lifecycle/drain.rs
+++ b/crates/server/src/lifecycle/drain.rs
@@ -10,8 +10,8 @@
 /// Interval between two checks of whether the drain is over.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Time after which connections are told to close that were in the kernel's queue when the listener was closed.
-/// Their first calls may still be under way.
+/// Time after which connections are told to close that were in the kernel's queue when the listener was
+/// closed. Their first calls may still be under way.
 const LAST_ACCEPTED_CLOSE_AFTER: Duration = Duration::from_millis(50);
 
 /// Part of the drain in which the server accepts connections, in eighths of the time from the notice to leave
--- a/crates/server/src/resources/invocations.rs
+++ b/crates/server/src/resources/invocations.rs
@@ -43,8 +43,8 @@
     /// Delivery of the command to stop the run. `None` if no such command was sent, and once its receipt was
     /// reported to the controller.
     pub stop: Option<Delivery>,
-    /// True if the invocation was answered and nothing will report the end of its run. The run may still be on
-    /// the cores.
+    /// True if the invocation was answered and nothing will report the end of its run. The run may still
+    /// be on the cores.
     pub lingers: bool,
     /// Body of the downstream call for which the run waits. Emptied when the run resumes.
     pub call_body: Vec<u8>,
--- a/crates/test-doubles/src/soak/plan.rs
+++ b/crates/test-doubles/src/soak/plan.rs
@@ -76,7 +76,8 @@
     pub name: &'static str,
 }
 
-/// InjectedFaults that is added to the plan of a soak run: at the interpreter, and from clients that do not leave.
+/// Faults that are added to the plan of a soak run: at the interpreter, and from clients that do
+/// not leave.
 #[derive(Clone, Debug)]
 pub struct InjectedFaults {
     /// Effect of the operation, as the configuration names it.
