A changed server that the view forgets stays missing, and the change goes no further

Stage 2 of 2, share 1, was "3 of 3 servers: s0, s1, s3": the dead s0 filled a place of the living s2.

Cause: the view forgets a dead member after 30 suspicions. The coordinator asked the view who is missing, so a changed server counted as missing only until it was forgotten, and the time counted so far was set to zero by that, by a single unchanged server that was missing too, and by a restart of the coordinator. Sizes of stages compared the number of changed servers with the number of alive ones, which are different sets.

Change: who is absent is decided by the plan's own list of changed servers, less those alive in the view. Each has a clock of its own that stands still while an unchanged server is missing (a partition is likely) and ends only when the server is alive again. A view without one of them is not settled. Sizes, and whether anybody is left to compare with, count the alive servers only. The suspended stage names who is changed and gone.

--- a/crates/rollout/src/coordinator/baking.rs
+++ b/crates/rollout/src/coordinator/baking.rs
@@ -17,17 +17,13 @@
 
 impl Coordinator {
     pub(super) fn handle_baking(&mut self, interval: &Interval, actions: &mut Vec<Action>) {
-        if let Some(reason) = self.find_failure(interval.view) {
+        if let Some(reason) = self.find_failure() {
             return self.stop_or_roll_back(interval.now, reason, actions);
         }
         self.add_to_canary(interval);
         let stage = self.state.stage;
         if !interval.is_settled {
-            let message = format!(
-                "stage {}: the fleet's view moves, nothing counts (no comparison, no bake time)",
-                stage + 1
-            );
-            return self.notify(actions, &message);
+            return self.notify_unsettled(actions);
         }
         if interval.now.saturating_sub(self.phase_began) < self.plan.warm_up {
             self.canary = Canary::default();
@@ -35,7 +31,7 @@
         }
         self.baked += interval.elapsed;
         let bake_time = self.plan.stages[stage].bake_time;
-        let has_unchanged = self.state.changed.len() < interval.view.alive.len();
+        let has_unchanged = !self.unchanged_servers(interval.view).is_empty();
         match self.next_verdict() {
             Verdict::Regression { class, metric, difference, p_value } => {
                 let reason = format!("{class}: {metric:?} worse by {difference:.3} (p {p_value:.1e})");
@@ -54,6 +50,17 @@
         }
     }
 
+    /// Shows the operator that the stage is suspended, and which changed servers are absent.
+    fn notify_unsettled(&mut self, actions: &mut Vec<Action>) {
+        let stage = self.state.stage + 1;
+        let mut message =
+            format!("stage {stage}: the fleet's view moves, nothing counts (no comparison, no bake time)");
+        if !self.absent_for.is_empty() {
+            message.push_str(&format!("; changed and gone: {}", self.absent_servers()));
+        }
+        self.notify(actions, &message);
+    }
+
     /// Adds the new metrics of servers that comply with their orders to the comparison. The metrics are
     /// dropped while the membership view is not settled, for example because a server is missing. A
     /// membership change may then be the cause of a difference between servers.
--- a/crates/rollout/src/coordinator/compliance.rs
+++ b/crates/rollout/src/coordinator/compliance.rs
@@ -4,6 +4,7 @@
 use crate::Nanos;
 use crate::metrics::IntervalMetrics;
 use crate::wire::Report;
+use std::collections::BTreeSet;
 
 /// Number of latest orders that a server may leave unanswered. A server that leaves more orders unanswered
 /// counts as silent.
@@ -72,27 +73,30 @@
         }
     }
 
-    /// Counts the time for which only changed servers have been missing from the view. Resets the time to 0
-    /// if no server is missing, or if an unchanged server is missing.
-    pub(super) fn count_changed_missing(&mut self, interval: &Interval) {
-        let missing = &interval.view.missing;
-        let only_changed = missing.iter().all(|server| self.state.changed.contains(server));
-        if only_changed && !missing.is_empty() {
-            self.changed_missing_for += interval.elapsed;
-        } else {
-            self.changed_missing_for = 0;
-        }
+    /// Counts for each changed server the time for which it has been absent. A changed server is absent if it
+    /// is not alive in the view. The view forgets dead servers, so the plan's own list of changed servers
+    /// decides who is absent.
+    ///
+    /// No time is counted while an unchanged server is missing, because this suggests a network partition.
+    /// The time counted so far is kept until the server is alive again.
+    pub(super) fn count_absent(&mut self, view: &FleetView, elapsed: Nanos) {
+        let alive: BTreeSet<&String> = view.alive.iter().collect();
+        let is_changed = |server| self.state.changed.contains(server);
+        let counted = if view.missing.iter().all(is_changed) { elapsed } else { 0 };
+        let absent = self.state.changed.iter().filter(|server| !alive.contains(server));
+        self.absent_for = absent
+            .map(|server| (server.clone(), self.absent_for.get(server).unwrap_or(&0) + counted))
+            .collect();
     }
 
     /// Returns the reason for a rollback or a stop if a server has failed. A server has failed if it has been
-    /// overdue for the response timeout. Changed servers have also failed if only changed servers have been
-    /// missing from the view for the response timeout.
-    pub(super) fn find_failure(&self, view: &FleetView) -> Option<String> {
+    /// overdue for the response timeout, or if it has been absent for the response timeout.
+    pub(super) fn find_failure(&self) -> Option<String> {
         let timeout = self.plan.response_timeout;
-        if self.changed_missing_for >= timeout {
-            // Only changed servers are missing here, so the change is the likely cause. A network partition
-            // would probably affect unchanged servers, too.
-            return Some(format!("{} gone since the change", view.missing.join(", ")));
+        if self.absent_for.values().any(|absent_for| *absent_for >= timeout) {
+            // Absence is counted only while no unchanged server is missing, so the change is the likely cause.
+            // A network partition would probably affect unchanged servers, too.
+            return Some(format!("{} gone since the change", self.absent_servers()));
         }
         let (server, _) = self.overdue.iter().find(|(_, overdue)| **overdue >= timeout)?;
         let Some(received) = self.reports.get(server) else { return Some(format!("{server} never reports")) };
@@ -102,6 +106,11 @@
         })
     }
 
+    /// Returns the names of the absent changed servers, separated by commas.
+    pub(super) fn absent_servers(&self) -> String {
+        self.absent_for.keys().map(String::as_str).collect::<Vec<_>>().join(", ")
+    }
+
     /// Returns the metrics of each alive server that has reported a new interval since the last call of this
     /// function.
     pub(super) fn take_new_intervals(&mut self, view: &FleetView) -> Vec<NewInterval> {
--- a/crates/rollout/src/coordinator/mod.rs
+++ b/crates/rollout/src/coordinator/mod.rs
@@ -115,9 +115,10 @@
     /// server name. Only time with the rollout lease is counted. Time without a settled view is counted only
     /// during a rollback.
     overdue: BTreeMap<String, Nanos>,
-    /// Time in nanoseconds for which only changed servers have been missing from the view. The time is 0 if
-    /// no server is missing or an unchanged server is missing.
-    changed_missing_for: Nanos,
+    /// Time in nanoseconds for which each absent server has been absent, by server name. Exactly the changed
+    /// servers that are not alive in the view are absent, whether or not the view still lists them. Only time
+    /// with the rollout lease and with no unchanged server missing is counted.
+    absent_for: BTreeMap<String, Nanos>,
     /// The latest report of each server, by server name.
     reports: BTreeMap<String, ReceivedReport>,
     /// Time of the last call of [`Coordinator::handle_interval`], in nanoseconds on the caller's clock.
@@ -133,7 +134,7 @@
     elapsed: Nanos,
     view: &'a FleetView,
     /// Whether the view is settled. The view is settled if at least one server is alive, no server is
-    /// missing, and the view has not changed for the plan's settle time.
+    /// missing, every changed server is alive, and the view has not changed for the plan's settle time.
     is_settled: bool,
 }
 
@@ -159,7 +160,7 @@
             verdicts: 0,
             canary: Canary::default(),
             overdue: BTreeMap::new(),
-            changed_missing_for: 0,
+            absent_for: BTreeMap::new(),
             reports: BTreeMap::new(),
             last_interval: None,
             last_message: String::new(),
@@ -215,11 +216,11 @@
             );
             return actions;
         }
-        let is_settled =
-            view.missing.is_empty() && view.settled_for >= self.plan.settle_time && !view.alive.is_empty();
+        self.count_absent(view, elapsed);
+        let is_complete = view.missing.is_empty() && self.absent_for.is_empty() && !view.alive.is_empty();
+        let is_settled = is_complete && view.settled_for >= self.plan.settle_time;
         let interval = Interval { now, elapsed, view, is_settled };
         self.count_overdue(&interval);
-        self.count_changed_missing(&interval);
         match self.state.phase.clone() {
             Phase::Waiting => self.handle_waiting(&interval, &mut actions),
             Phase::Applying => self.handle_applying(&interval, &mut actions),
--- a/crates/rollout/src/coordinator/stages.rs
+++ b/crates/rollout/src/coordinator/stages.rs
@@ -18,7 +18,7 @@
         for new_interval in self.take_new_intervals(view) {
             self.state.baselines.add(&new_interval.server, &new_interval.metrics);
         }
-        if let Some(reason) = self.find_failure(view) {
+        if let Some(reason) = self.find_failure() {
             // The rollout stops without a rollback, because no server has been changed yet.
             return self.end(Phase::Stopped { reason }, actions);
         }
@@ -48,7 +48,6 @@
         self.verdicts = 0;
         self.canary = Canary::default();
         self.overdue.clear();
-        self.changed_missing_for = 0;
         self.save(actions);
         let changed: Vec<&str> = self.state.changed.iter().map(String::as_str).collect();
         let message = format!(
@@ -62,16 +61,21 @@
         self.notify(actions, &message);
     }
 
-    /// Selects the servers to change, so that `size` servers are changed in total. The order of selection
-    /// depends on the plan's name, so that different plans begin with different servers.
+    /// Selects the servers to change, so that `size` alive servers are changed in total. The order of
+    /// selection depends on the plan's name, so that different plans begin with different servers.
     fn choose_servers(&self, size: usize, view: &FleetView) -> Vec<String> {
-        let is_unchanged = |server: &&String| !self.state.changed.contains(*server);
-        let mut unchanged: Vec<String> = view.alive.iter().filter(is_unchanged).cloned().collect();
+        let mut unchanged = self.unchanged_servers(view);
         unchanged.sort_by_key(|server| (order_key(&self.plan.name, server), server.clone()));
-        unchanged.truncate(size.saturating_sub(self.state.changed.len()));
+        let changed_count = view.alive.len() - unchanged.len();
+        unchanged.truncate(size.saturating_sub(changed_count));
         unchanged
     }
 
+    /// Returns the names of the alive servers that the plan has not changed.
+    pub(super) fn unchanged_servers(&self, view: &FleetView) -> Vec<String> {
+        view.alive.iter().filter(|server| !self.state.changed.contains(*server)).cloned().collect()
+    }
+
     /// Begins the comparison phase (baking) when the view is settled and all servers have recently reported
     /// that they comply with their orders.
     pub(super) fn handle_applying(&mut self, interval: &Interval, actions: &mut Vec<Action>) {
@@ -79,7 +83,7 @@
         // The returned metrics are dropped, because they are from intervals that ended before the comparison
         // phase.
         self.take_new_intervals(view);
-        if let Some(reason) = self.find_failure(view) {
+        if let Some(reason) = self.find_failure() {
             return self.stop_or_roll_back(interval.now, reason, actions);
         }
         let is_ready =
--- /dev/null
+++ b/crates/rollout/tests/rollouts/absent_servers.rs
@@ -0,0 +1,95 @@
+//! Tests rollouts in which servers go away and the membership view forgets them. Which servers the plan has
+//! changed, and which of them went back, must not depend on the view.
+
+use crate::simulated_fleet::{Change, Fleet, SECOND, begin, plan};
+use meadowstream_rollout::coordinator::{Coordinator, Phase};
+use meadowstream_rollout::plan::{OnRegression, Plan};
+
+/// Runs a rollout until its first stage is compared. Returns the index of the only changed server.
+fn run_until_first_stage_bakes(fleet: &mut Fleet, coordinator: &mut Coordinator) -> usize {
+    while coordinator.state().phase != Phase::Baking {
+        fleet.run_interval(coordinator);
+    }
+    coordinator.state().changed.first().unwrap()[1..].parse().unwrap()
+}
+
+/// Takes a server out of the view, as if it had died and the membership protocol had forgotten it.
+fn forget(fleet: &mut Fleet, server: usize) {
+    fleet.servers[server].is_missing = false;
+    fleet.servers[server].is_down = true;
+    fleet.settled = 0;
+}
+
+/// Guards against a change that goes on to further servers after the view has forgotten the changed one.
+#[test]
+fn a_changed_server_that_the_view_forgets_stays_missing() {
+    for on_regression in [OnRegression::RollBack, OnRegression::Stop] {
+        let mut fleet = Fleet::new(4, Change::None, 80);
+        let mut coordinator = begin(Plan { on_regression, ..plan() });
+        let first = run_until_first_stage_bakes(&mut fleet, &mut coordinator);
+        fleet.servers[first].is_missing = true;
+        fleet.settled = 0;
+        // The view forgets the server before the response timeout of 10 s has elapsed.
+        fleet.run(&mut coordinator, 6);
+        forget(&mut fleet, first);
+        let phase = fleet.run(&mut coordinator, 100);
+        let (Phase::RolledBack { reason, .. } | Phase::Stopped { reason }) = &phase else {
+            panic!("{phase:?}: {:?}", fleet.messages)
+        };
+        assert_eq!(*reason, format!("s{first} gone since the change"));
+        assert_eq!(fleet.ever_changed, [first].into());
+    }
+}
+
+/// Guards against a missing time that begins anew whenever an unchanged server is missing for a moment.
+#[test]
+fn an_unchanged_server_that_comes_and_goes_does_not_hide_a_changed_server_that_is_gone() {
+    let mut fleet = Fleet::new(6, Change::None, 81);
+    let mut coordinator = begin(plan());
+    let first = run_until_first_stage_bakes(&mut fleet, &mut coordinator);
+    let other = (first + 1) % 6;
+    forget(&mut fleet, first);
+    for interval in 0..60 {
+        fleet.servers[other].is_missing = interval % 4 == 0;
+        fleet.settled = 0;
+        fleet.run(&mut coordinator, 1);
+    }
+    let reason = format!("s{first} gone since the change");
+    let rolls_back = fleet.messages.iter().any(|message| *message == format!("rolls back: {reason}"));
+    assert!(rolls_back, "{:?}", fleet.messages);
+    assert_eq!(fleet.ever_changed, [first].into());
+}
+
+/// Guards against a restarted coordinator that takes a changed server for one that never was there.
+#[test]
+fn a_restarted_coordinator_misses_a_changed_server_that_the_view_has_forgotten() {
+    let mut fleet = Fleet::new(4, Change::None, 82);
+    let mut coordinator = begin(plan());
+    let first = run_until_first_stage_bakes(&mut fleet, &mut coordinator);
+    forget(&mut fleet, first);
+    drop(coordinator);
+    fleet.now += 20 * SECOND;
+    let mut restarted = Coordinator::new(plan(), fleet.saved.clone(), 2, fleet.now).unwrap();
+    let phase = fleet.run(&mut restarted, 100);
+    let Phase::RolledBack { reason, .. } = phase else { panic!("{phase:?}: {:?}", fleet.messages) };
+    assert_eq!(reason, format!("s{first} gone since the change"));
+}
+
+/// Guards against a partition that is taken for the change's doing because the changed server is cut off, too.
+#[test]
+fn a_partition_that_ends_in_time_does_not_count_against_the_changed_server() {
+    let mut fleet = Fleet::new(6, Change::None, 83);
+    let mut coordinator = begin(plan());
+    let first = run_until_first_stage_bakes(&mut fleet, &mut coordinator);
+    let other = (first + 1) % 6;
+    for server in [first, other] {
+        fleet.servers[server].is_missing = true;
+    }
+    fleet.settled = 0;
+    fleet.run(&mut coordinator, 60);
+    for server in [first, other] {
+        fleet.servers[server].is_missing = false;
+    }
+    fleet.settled = 0;
+    assert_eq!(fleet.run(&mut coordinator, 600), Phase::Done, "{:?}", fleet.messages);
+}
