A rollback knows whom the plan has changed, and names those that did not go back

The command ended with "rolled back: s0 gone since the change" and named nobody; the server came back by the change, by its mark on disk, and nobody ordered it back any more. An abort ended at once, and so did a coordinator started again in a rollback.

Cause: `roll_back` cleared the list of changed servers and saved that, so not even the disk knew whom the plan had changed. `handle_rolling_back` asked the members in the view for their confirmation, and the view forgets.

Change: a rollback keeps the names of the changed servers until each has confirmed (`pending_rollback`, saved before the first order of the rollback and after each confirmation). It ends when they and the members in the view have confirmed, or after its time limit, naming those that did not.

All tests of the crate pass.

--- a/crates/rollout/src/baseline.rs
+++ b/crates/rollout/src/baseline.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Returns the names of the servers that have a baseline.
+    pub(crate) fn servers(&self) -> impl Iterator<Item = &String> {
+        self.by_server.keys()
+    }
+
     /// Returns the number of intervals in a server's baseline. Classes and metrics may have different numbers
     /// of values; the function returns the largest number.
     pub fn intervals(&self, server: &str) -> usize {
--- a/crates/rollout/src/coordinator/mod.rs
+++ b/crates/rollout/src/coordinator/mod.rs
@@ -148,8 +148,9 @@
         now: Nanos,
     ) -> Result<Coordinator, CoordinatorError> {
         plan.check()?;
-        let state = saved.unwrap_or_else(|| PersistedState::new(&plan));
+        let mut state = saved.unwrap_or_else(|| PersistedState::new(&plan));
         state.check_belongs_to(&plan)?;
+        state.complete_rollback();
         Ok(Coordinator {
             plan,
             incarnation,
--- a/crates/rollout/src/coordinator/rollback.rs
+++ b/crates/rollout/src/coordinator/rollback.rs
@@ -2,6 +2,7 @@
 
 use super::{Action, Coordinator, Interval, Phase};
 use crate::Nanos;
+use std::collections::BTreeSet;
 
 /// Maximum duration of a rollback, as a multiple of the response timeout. After this time, the rollback ends
 /// even if some servers have not confirmed it.
@@ -11,26 +12,28 @@
     /// Begins the rollback. From now on, the orders tell every server to run its own settings or program,
     /// without the change.
     pub(super) fn roll_back(&mut self, now: Nanos, reason: String, actions: &mut Vec<Action>) {
-        self.state.changed.clear();
-        self.state.phase = Phase::RollingBack { reason: reason.clone() };
+        self.state.begin_rollback(reason.clone());
         self.phase_began = now;
         self.overdue.clear();
         self.save(actions);
         self.notify(actions, &format!("rolls back: {reason}"));
     }
 
-    /// Ends the rollback when every server in the view has confirmed it, or after a timeout. A missing server
-    /// that returns before the end of the rollback also gets the order to roll back.
+    /// Ends the rollback when every server that had been changed and every server in the view has confirmed
+    /// it, or after a timeout. A missing server that returns before the end of the rollback also gets the
+    /// order to roll back.
     pub(super) fn handle_rolling_back(
         &mut self,
         interval: &Interval,
         reason: String,
         actions: &mut Vec<Action>,
     ) {
+        self.record_confirmations(actions);
         let view = interval.view;
-        let servers = view.alive.iter().chain(&view.missing);
+        let pending = self.state.pending_rollback.iter().flatten();
+        let servers: BTreeSet<&String> = view.alive.iter().chain(&view.missing).chain(pending).collect();
         let unconfirmed: Vec<String> =
-            servers.filter(|server| !self.has_confirmed_rollback(server)).cloned().collect();
+            servers.into_iter().filter(|server| !self.has_confirmed_rollback(server)).cloned().collect();
         let timeout = self.plan.response_timeout.saturating_mul(ROLLBACK_TIMEOUT_FACTOR);
         let is_timed_out = interval.now.saturating_sub(self.phase_began) >= timeout;
         if unconfirmed.is_empty() || is_timed_out {
@@ -38,6 +41,19 @@
         }
     }
 
+    /// Saves which of the changed servers have confirmed the rollback, so that a restarted coordinator does not
+    /// wait for them again.
+    fn record_confirmations(&mut self, actions: &mut Vec<Action>) {
+        let mut pending = self.state.pending_rollback.take().unwrap_or_default();
+        let count = pending.len();
+        pending.retain(|server| !self.has_confirmed_rollback(server));
+        let has_confirmations = pending.len() < count;
+        self.state.pending_rollback = Some(pending);
+        if has_confirmations {
+            self.save(actions);
+        }
+    }
+
     /// Returns whether a server has confirmed the rollback. The server must have sent a report since the
     /// rollback began, and the report must state that the server does not run the change.
     fn has_confirmed_rollback(&self, server: &str) -> bool {
--- a/crates/rollout/src/coordinator/state.rs
+++ b/crates/rollout/src/coordinator/state.rs
@@ -61,8 +61,14 @@
     pub phase: Phase,
     /// Index of the current stage, counted from 0.
     pub stage: usize,
-    /// Names of the servers that are ordered to run the new settings or program.
+    /// Names of the servers that are ordered to run the new settings or program. Empty from the begin of a
+    /// rollback on, because a coordinator of any release orders exactly these servers to run the change.
     pub changed: BTreeSet<String>,
+    /// Names of the servers that had been ordered to run the change when the rollback began and have not
+    /// confirmed since that they went back; `None` before a rollback. Release 0.2 neither writes nor reads
+    /// this field.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pending_rollback: Option<BTreeSet<String>>,
     /// Baselines of the servers, measured before any server is changed.
     pub baselines: Baselines,
 }
@@ -76,10 +82,28 @@
             phase: Phase::Waiting,
             stage: 0,
             changed: BTreeSet::new(),
+            pending_rollback: None,
             baselines: Baselines::default(),
         }
     }
 
+    /// Moves the changed servers to the servers that have to go back, so that no server is ordered to run the
+    /// change any more.
+    pub(super) fn begin_rollback(&mut self, reason: String) {
+        self.pending_rollback.get_or_insert_default().append(&mut self.changed);
+        self.phase = Phase::RollingBack { reason };
+    }
+
+    /// Completes a state that release 0.2 saved during a rollback. Such a state does not name the servers that
+    /// have to go back, so every server that the plan has measured counts as one of them.
+    pub(super) fn complete_rollback(&mut self) {
+        if let (Phase::RollingBack { reason }, None) = (&self.phase, &self.pending_rollback) {
+            let reason = reason.clone();
+            self.pending_rollback = Some(self.baselines.servers().cloned().collect());
+            self.begin_rollback(reason);
+        }
+    }
+
     /// Returns an error if this state belongs to another plan or does not fit the plan.
     pub(super) fn check_belongs_to(&self, plan: &Plan) -> Result<(), CoordinatorError> {
         if self.plan != plan.name {
--- a/crates/rollout/tests/fixed_bytes.rs
+++ b/crates/rollout/tests/fixed_bytes.rs
@@ -3,15 +3,18 @@
 //! must decode to the original values.
 
 use meadowstream_rollout::baseline::Baselines;
-use meadowstream_rollout::coordinator::{PersistedState, Phase};
+use meadowstream_rollout::coordinator::{Action, Coordinator, FleetView, PersistedState, Phase};
 use meadowstream_rollout::metrics::IntervalMetrics;
-use meadowstream_rollout::plan::ChangeKind;
+use meadowstream_rollout::plan::{ChangeKind, OnRegression, Plan, Stage, StageSize, Thresholds};
 use meadowstream_rollout::version_table::ServerVersion;
 use meadowstream_rollout::wire::{Order, Report, decode, encode};
 use meadowstream_wire_fixtures::Fixtures;
 use serde::{Serialize, de::DeserializeOwned};
 use std::fmt::Debug;
 
+/// Nanoseconds per second.
+const SECOND: u64 = 1_000_000_000;
+
 fn order(kind: ChangeKind, adopt: Option<u64>) -> Order {
     Order {
         plan: "lower reference".into(),
@@ -119,6 +122,7 @@
         phase,
         stage: 1,
         changed: ["s0".to_string(), "s1".to_string()].into(),
+        pending_rollback: None,
         baselines: baselines(),
     };
     let files: Vec<(&str, PersistedState)> =
@@ -132,3 +136,68 @@
         assert_eq!(text(&decoded), fixtures.bytes(name), "{name}");
     }
 }
+
+/// Returns a plan to which the recorded state files belong.
+fn plan() -> Plan {
+    let stage = |servers| Stage { size: StageSize::Servers(servers), bake_time: 6 * SECOND };
+    Plan {
+        name: "lower reference".into(),
+        candidate: u64::MAX - 1,
+        kind: ChangeKind::Settings,
+        stages: vec![stage(1), stage(2)],
+        on_regression: OnRegression::RollBack,
+        thresholds: Thresholds::default(),
+        interval: SECOND,
+        settle_time: SECOND,
+        warm_up: 0,
+        response_timeout: 2 * SECOND,
+    }
+}
+
+/// A state file that release 0.2 wrote during a rollback does not name the changed servers. Each server that
+/// the plan has measured must confirm the rollback or be named at its end, also if the view has forgotten it.
+#[test]
+fn a_rollback_that_release_0_2_began_names_the_servers_that_do_not_confirm() {
+    let text = String::from_utf8(load("state-files").bytes("rolling-back").to_vec()).unwrap();
+    // Release 0.2 clears the list of changed servers when a rollback begins.
+    let saved = text.replace("[\n    \"s0\",\n    \"s1\"\n  ]", "[]");
+    assert_ne!(saved, text);
+    let mut coordinator = Coordinator::new(plan(), serde_json::from_str(&saved).unwrap(), 1, 0).unwrap();
+    let view = FleetView { alive: vec!["s1".into()], missing: Vec::new(), settled_for: 60 * SECOND };
+    for second in 1..=6 {
+        coordinator.handle_interval(second * SECOND, &view, true);
+        let report = Report { order_sequence: second, ..Report::default() };
+        coordinator.handle_report(second * SECOND + 1, "s1", report);
+    }
+    let Phase::RolledBack { unconfirmed, .. } = &coordinator.state().phase else { panic!("not ended") };
+    assert_eq!(*unconfirmed, ["s0"]);
+}
+
+/// A state file that this release writes during a rollback orders no server to run the change in release 0.2
+/// either: that release orders exactly the servers in `changed`, and passes over fields that it does not know.
+#[test]
+fn a_rollback_of_this_release_is_read_by_release_0_2() {
+    /// State file as release 0.2 reads it.
+    #[derive(serde::Deserialize)]
+    struct StateOfRelease02 {
+        plan: String,
+        candidate: u64,
+        phase: Phase,
+        stage: usize,
+        changed: std::collections::BTreeSet<String>,
+        baselines: Baselines,
+    }
+    let saved = serde_json::from_slice(load("state-files").bytes("baking")).unwrap();
+    let mut coordinator = Coordinator::new(plan(), Some(saved), 1, 0).unwrap();
+    let actions = coordinator.handle_abort(SECOND);
+    let Some(Action::Save(saved)) = actions.first() else { panic!("{actions:?}") };
+    assert_eq!(saved.pending_rollback, Some(["s0".to_string(), "s1".to_string()].into()));
+    let text = serde_json::to_string_pretty(saved).unwrap();
+    let read: StateOfRelease02 = serde_json::from_str(&text).unwrap();
+    assert!(read.changed.is_empty() && matches!(read.phase, Phase::RollingBack { .. }));
+    assert_eq!((read.plan, read.candidate, read.stage), ("lower reference".into(), u64::MAX - 1, 1));
+    assert_eq!(read.baselines, baselines());
+    let decoded: PersistedState = serde_json::from_str(&text).unwrap();
+    assert_eq!(decoded, **saved);
+    load("state-files-pending-rollback").verify(&[("rolling-back", text.into_bytes())]);
+}
--- a/crates/rollout/tests/rollouts/absent_servers.rs
+++ b/crates/rollout/tests/rollouts/absent_servers.rs
@@ -93,3 +93,89 @@
     fleet.settled = 0;
     assert_eq!(fleet.run(&mut coordinator, 600), Phase::Done, "{:?}", fleet.messages);
 }
+
+/// Runs a rollback to its end, with a changed server that the view has forgotten. Asserts that the end names
+/// this server, in the phase and in the message to the operator.
+fn expect_named_at_the_end(fleet: &mut Fleet, coordinator: &mut Coordinator, first: usize) {
+    let phase = fleet.run(coordinator, 100);
+    let Phase::RolledBack { unconfirmed, .. } = phase else { panic!("{phase:?}: {:?}", fleet.messages) };
+    assert_eq!(unconfirmed, vec![format!("s{first}")]);
+    let last = fleet.messages.last().unwrap();
+    assert!(last.ends_with(&format!("NOT CONFIRMED by s{first}")), "{last}");
+}
+
+/// Guards against a rollback that ends without naming a changed server because the view has forgotten it.
+#[test]
+fn a_rollback_names_a_changed_server_that_the_view_has_forgotten() {
+    let mut fleet = Fleet::new(4, Change::None, 84);
+    let mut coordinator = begin(plan());
+    let first = run_until_first_stage_bakes(&mut fleet, &mut coordinator);
+    forget(&mut fleet, first);
+    expect_named_at_the_end(&mut fleet, &mut coordinator, first);
+}
+
+/// Guards against an aborted rollout that ends at once although a changed server has not gone back.
+#[test]
+fn an_abort_names_a_changed_server_that_the_view_has_forgotten() {
+    let mut fleet = Fleet::new(4, Change::None, 85);
+    let mut coordinator = begin(plan());
+    let first = run_until_first_stage_bakes(&mut fleet, &mut coordinator);
+    forget(&mut fleet, first);
+    fleet.run(&mut coordinator, 2);
+    let actions = coordinator.handle_abort(fleet.now);
+    fleet.carry_out(actions);
+    expect_named_at_the_end(&mut fleet, &mut coordinator, first);
+}
+
+/// Guards against a coordinator that forgets over a restart who has to go back.
+#[test]
+fn a_coordinator_restarted_in_a_rollback_names_a_changed_server_that_the_view_has_forgotten() {
+    let mut fleet = Fleet::new(4, Change::None, 86);
+    let mut coordinator = begin(plan());
+    let first = run_until_first_stage_bakes(&mut fleet, &mut coordinator);
+    forget(&mut fleet, first);
+    let actions = coordinator.handle_abort(fleet.now);
+    fleet.carry_out(actions);
+    fleet.run(&mut coordinator, 5);
+    drop(coordinator);
+    let mut restarted = Coordinator::new(plan(), fleet.saved.clone(), 2, fleet.now).unwrap();
+    expect_named_at_the_end(&mut fleet, &mut restarted, first);
+}
+
+/// Guards against a rollback that does not reach a server which returns before its end.
+#[test]
+fn a_forgotten_server_that_returns_during_the_rollback_goes_back() {
+    let mut fleet = Fleet::new(4, Change::None, 87);
+    let mut coordinator = begin(plan());
+    let first = run_until_first_stage_bakes(&mut fleet, &mut coordinator);
+    forget(&mut fleet, first);
+    let actions = coordinator.handle_abort(fleet.now);
+    fleet.carry_out(actions);
+    fleet.run(&mut coordinator, 5);
+    assert!(!coordinator.state().phase.has_ended(), "{:?}", fleet.messages);
+    fleet.servers[first].is_down = false;
+    let phase = fleet.run(&mut coordinator, 30);
+    assert!(matches!(&phase, Phase::RolledBack { unconfirmed, .. } if unconfirmed.is_empty()), "{phase:?}");
+    fleet.assert_none_changed();
+}
+
+/// Guards against a confirmed server that is asked for again after a restart of the coordinator, and is named
+/// although it went back before it left the fleet.
+#[test]
+fn a_confirmation_outlasts_a_restart_of_the_coordinator() {
+    let mut fleet = Fleet::new(6, Change::None, 88);
+    let mut coordinator = begin(plan());
+    while coordinator.state().stage < 2 || coordinator.state().phase != Phase::Baking {
+        fleet.run_interval(&mut coordinator);
+    }
+    let mut changed = coordinator.state().changed.iter().map(|name| name[1..].parse().unwrap());
+    let (gone, returned): (usize, usize) = (changed.next().unwrap(), changed.next().unwrap());
+    forget(&mut fleet, gone);
+    let actions = coordinator.handle_abort(fleet.now);
+    fleet.carry_out(actions);
+    fleet.run(&mut coordinator, 5);
+    forget(&mut fleet, returned);
+    drop(coordinator);
+    let mut restarted = Coordinator::new(plan(), fleet.saved.clone(), 2, fleet.now).unwrap();
+    expect_named_at_the_end(&mut fleet, &mut restarted, gone);
+}
