A report on an order from before the rollback does not confirm it

Seen in simulated time: a rollback begins while a server is about to adopt the change. Its report on the order to adopt, written before it had changed, arrives after the rollback began, says that it goes by its own settings, and was taken for its confirmation. The rollback then ends without naming a server that goes by the change.

Cause: a confirmation was any report received since the rollback began.

Change: a confirmation answers an order of the rollback. A restarted coordinator counts its orders anew, and all that it sends in a rollback are orders to go back.

Evidence: a_report_on_an_order_from_before_the_rollback_does_not_confirm_it failed before (unconfirmed [] for ["s0"]) and passes now, as do the other tests of the crate.

--- a/crates/rollout/src/coordinator/mod.rs
+++ b/crates/rollout/src/coordinator/mod.rs
@@ -101,6 +101,9 @@
     state: PersistedState,
     /// Time at which the current phase of the plan began, in nanoseconds on the caller's clock.
     phase_began: Nanos,
+    /// Sequence number of the last order before the rollback; 0 if this coordinator has only sent orders to
+    /// roll back. Reports on this order and on earlier ones confirm nothing.
+    last_order_before_rollback: u64,
     /// Time in nanoseconds for which the current stage has baked so far. Time counts only after the warm-up,
     /// while this coordinator holds the rollout lease and the view is settled.
     baked: Nanos,
@@ -157,6 +160,7 @@
             order_sequence: 0,
             state,
             phase_began: now,
+            last_order_before_rollback: 0,
             baked: 0,
             verdicts: 0,
             canary: Canary::default(),
--- a/crates/rollout/src/coordinator/rollback.rs
+++ b/crates/rollout/src/coordinator/rollback.rs
@@ -14,6 +14,7 @@
     pub(super) fn roll_back(&mut self, now: Nanos, reason: String, actions: &mut Vec<Action>) {
         self.state.begin_rollback(reason.clone());
         self.phase_began = now;
+        self.last_order_before_rollback = self.order_sequence;
         self.overdue.clear();
         self.save(actions);
         self.notify(actions, &format!("rolls back: {reason}"));
@@ -54,11 +55,14 @@
         }
     }
 
-    /// Returns whether a server has confirmed the rollback. The server must have sent a report since the
-    /// rollback began, and the report must state that the server does not run the change.
+    /// Returns whether a server has confirmed the rollback. Its latest report must answer an order of the
+    /// rollback, and must state that the server does not run the change. A report on an earlier order may have
+    /// been written before the server adopted the change.
     fn has_confirmed_rollback(&self, server: &str) -> bool {
         let received = self.reports.get(server);
-        received.is_some_and(|latest| latest.received_at > self.phase_began && !latest.report.adopted)
+        received.is_some_and(|latest| {
+            latest.report.order_sequence > self.last_order_before_rollback && !latest.report.adopted
+        })
     }
 
     /// Ends the plan. `phase` is the final phase, for which [`Phase::has_ended`] must be true.
--- a/crates/rollout/tests/rollouts/absent_servers.rs
+++ b/crates/rollout/tests/rollouts/absent_servers.rs
@@ -4,6 +4,7 @@
 use crate::simulated_fleet::{Change, Fleet, SECOND, begin, plan};
 use meadowstream_rollout::coordinator::{Coordinator, Phase};
 use meadowstream_rollout::plan::{OnRegression, Plan};
+use meadowstream_rollout::wire::Report;
 
 /// Runs a rollout until its first stage is compared. Returns the index of the only changed server.
 fn run_until_first_stage_bakes(fleet: &mut Fleet, coordinator: &mut Coordinator) -> usize {
@@ -179,3 +180,25 @@
     let mut restarted = Coordinator::new(plan(), fleet.saved.clone(), 2, fleet.now).unwrap();
     expect_named_at_the_end(&mut fleet, &mut restarted, gone);
 }
+
+/// Guards against a report on an order to change that is taken for the confirmation of the rollback, because
+/// it was written before the server had changed and arrived after the rollback began.
+#[test]
+fn a_report_on_an_order_from_before_the_rollback_does_not_confirm_it() {
+    let mut fleet = Fleet::new(4, Change::None, 92);
+    let mut coordinator = begin(plan());
+    while coordinator.state().phase != Phase::Applying {
+        fleet.run_interval(&mut coordinator);
+    }
+    let first = coordinator.state().changed.first().unwrap().clone();
+    fleet.servers[first[1..].parse::<usize>().unwrap()].is_silent = true;
+    fleet.reports.clear();
+    let actions = coordinator.handle_abort(fleet.now);
+    fleet.carry_out(actions);
+    // The coordinator has sent one order to each server in each interval.
+    let report = Report { order_sequence: fleet.interval, ..Report::default() };
+    coordinator.handle_report(fleet.now + 1, &first, report);
+    let phase = fleet.run(&mut coordinator, 100);
+    let Phase::RolledBack { unconfirmed, .. } = phase else { panic!("{phase:?}: {:?}", fleet.messages) };
+    assert_eq!(unconfirmed, [first]);
+}
--- a/crates/rollout/tests/rollouts/simulated_fleet.rs
+++ b/crates/rollout/tests/rollouts/simulated_fleet.rs
@@ -70,7 +70,7 @@
     pub messages: Vec<String>,
     /// Indexes of the servers that have run the change at any time.
     pub ever_changed: BTreeSet<usize>,
-    reports: Vec<(u64, String, Report)>,
+    pub reports: Vec<(u64, String, Report)>,
     pub has_lease: bool,
     /// Whether a server restarts when it applies or rolls back the change.
     pub restarts: bool,
