Time without the lease does not count towards the end of a rollback

Seen in simulated time: a coordinator that lost the lease in a rollback for longer than the rollback's time limit ended it in the moment in which it had the lease again, with "NOT CONFIRMED by s0", although s0 lived: no order had gone out to it in the meantime.

Cause: the limit was counted from the begin of the rollback by the clock, whether or not orders could go out.

Change: only time under the lease counts, as for all other clocks of the coordinator. A restart begins anew.

Evidence: time_without_the_lease_does_not_count_towards_the_end_of_a_rollback failed before (unconfirmed ["s0"]) and passes now, as do the other tests of the crate.

--- a/crates/rollout/src/coordinator/mod.rs
+++ b/crates/rollout/src/coordinator/mod.rs
@@ -101,6 +101,9 @@
     state: PersistedState,
     /// Time at which the current phase of the plan began, in nanoseconds on the caller's clock.
     phase_began: Nanos,
+    /// Time in nanoseconds for which this coordinator has ordered the servers to roll back. Only time with the
+    /// rollout lease is counted.
+    rolled_back_for: Nanos,
     /// Sequence number of the last order before the rollback; 0 if this coordinator has only sent orders to
     /// roll back. Reports on this order and on earlier ones confirm nothing.
     last_order_before_rollback: u64,
@@ -160,6 +163,7 @@
             order_sequence: 0,
             state,
             phase_began: now,
+            rolled_back_for: 0,
             last_order_before_rollback: 0,
             baked: 0,
             verdicts: 0,
--- a/crates/rollout/src/coordinator/rollback.rs
+++ b/crates/rollout/src/coordinator/rollback.rs
@@ -4,8 +4,8 @@
 use crate::Nanos;
 use std::collections::BTreeSet;
 
-/// Maximum duration of a rollback, as a multiple of the response timeout. After this time, the rollback ends
-/// even if some servers have not confirmed it.
+/// Maximum duration of a rollback, as a multiple of the response timeout. Time without the rollout lease does
+/// not count. After this time, the rollback ends even if some servers have not confirmed it.
 const ROLLBACK_TIMEOUT_FACTOR: Nanos = 2;
 
 impl Coordinator {
@@ -14,6 +14,7 @@
     pub(super) fn roll_back(&mut self, now: Nanos, reason: String, actions: &mut Vec<Action>) {
         self.state.begin_rollback(reason.clone());
         self.phase_began = now;
+        self.rolled_back_for = 0;
         self.last_order_before_rollback = self.order_sequence;
         self.overdue.clear();
         self.save(actions);
@@ -36,7 +37,8 @@
         let unconfirmed: Vec<String> =
             servers.into_iter().filter(|server| !self.has_confirmed_rollback(server)).cloned().collect();
         let timeout = self.plan.response_timeout.saturating_mul(ROLLBACK_TIMEOUT_FACTOR);
-        let is_timed_out = interval.now.saturating_sub(self.phase_began) >= timeout;
+        self.rolled_back_for += interval.elapsed;
+        let is_timed_out = self.rolled_back_for >= timeout;
         if unconfirmed.is_empty() || is_timed_out {
             self.end(Phase::RolledBack { reason, unconfirmed }, actions);
         }
--- a/crates/rollout/tests/rollouts/absent_servers.rs
+++ b/crates/rollout/tests/rollouts/absent_servers.rs
@@ -202,3 +202,19 @@
     let Phase::RolledBack { unconfirmed, .. } = phase else { panic!("{phase:?}: {:?}", fleet.messages) };
     assert_eq!(unconfirmed, [first]);
 }
+
+/// Guards against a rollback that is given up because of time in which the coordinator could order nobody.
+#[test]
+fn time_without_the_lease_does_not_count_towards_the_end_of_a_rollback() {
+    let mut fleet = Fleet::new(4, Change::None, 91);
+    let mut coordinator = begin(plan());
+    run_until_first_stage_bakes(&mut fleet, &mut coordinator);
+    let actions = coordinator.handle_abort(fleet.now);
+    fleet.carry_out(actions);
+    fleet.has_lease = false;
+    fleet.run(&mut coordinator, 60);
+    fleet.has_lease = true;
+    let phase = fleet.run(&mut coordinator, 30);
+    assert!(matches!(&phase, Phase::RolledBack { unconfirmed, .. } if unconfirmed.is_empty()), "{phase:?}");
+    fleet.assert_none_changed();
+}
