A stage does not end while a server does not go by its order or answers none

Seen in simulated time: a changed server that has gone back to its own settings six seconds before the last bake ends (as after a restart without the file of the change), or that has died and is not suspected yet, and the end says "done: all stages went through".

Cause: that all servers comply was asked once, before the bake. Afterwards only clocks of the response timeout ran, and the bake could end before them.

Change: after the bake the stage waits until every alive server complies and answers; one that goes on not to is found by the clocks as before.

--- a/crates/rollout/src/coordinator/baking.rs
+++ b/crates/rollout/src/coordinator/baking.rs
@@ -96,13 +96,16 @@
     }
 
     /// Handles an interval without a regression. After the bake time, begins the next stage, or ends the plan
-    /// if this is the last stage.
+    /// if this is the last stage. A server that does not comply delays this until it complies or has failed.
     fn handle_no_regression(&mut self, interval: &Interval, actions: &mut Vec<Action>) {
         let stage = self.state.stage;
         let bake_time = self.plan.stages[stage].bake_time;
         if self.baked < bake_time {
             let (baked, planned) = (seconds(self.baked), seconds(bake_time));
             self.notify(actions, &format!("stage {}: baked {baked:.0} of {planned:.0} s", stage + 1));
+        } else if let Some(server) = self.first_unready(interval) {
+            let message = format!("stage {}: waits until {server} runs what it was ordered to", stage + 1);
+            self.notify(actions, &message);
         } else if stage + 1 < self.plan.stages.len() {
             self.begin_stage(interval.now, stage + 1, interval.view, actions);
         } else {
--- a/crates/rollout/src/coordinator/compliance.rs
+++ b/crates/rollout/src/coordinator/compliance.rs
@@ -46,11 +46,20 @@
     }
 
     /// Returns whether the latest report of a server arrived less than the response timeout ago.
-    pub(super) fn has_recent_report(&self, now: Nanos, server: &str) -> bool {
+    fn has_recent_report(&self, now: Nanos, server: &str) -> bool {
         let received = self.reports.get(server);
         received.is_some_and(|received| now.saturating_sub(received.received_at) < self.plan.response_timeout)
     }
 
+    /// Returns the name of an alive server that is silent or has not recently reported that it complies with
+    /// its order; `None` if there is no such server.
+    pub(super) fn first_unready<'a>(&self, interval: &Interval<'a>) -> Option<&'a String> {
+        let is_ready = |server: &String| {
+            self.complies(server) && self.has_recent_report(interval.now, server) && !self.is_silent(server)
+        };
+        interval.view.alive.iter().find(|server| !is_ready(server))
+    }
+
     /// Returns whether a server is silent. A server is silent if it has never reported. It is also silent if
     /// it has left more than [`SILENT_ORDERS`] of the latest orders unanswered.
     fn is_silent(&self, server: &str) -> bool {
--- a/crates/rollout/src/coordinator/stages.rs
+++ b/crates/rollout/src/coordinator/stages.rs
@@ -79,16 +79,13 @@
     /// Begins the comparison phase (baking) when the view is settled and all servers have recently reported
     /// that they comply with their orders.
     pub(super) fn handle_applying(&mut self, interval: &Interval, actions: &mut Vec<Action>) {
-        let view = interval.view;
         // The returned metrics are dropped, because they are from intervals that ended before the comparison
         // phase.
-        self.take_new_intervals(view);
+        self.take_new_intervals(interval.view);
         if let Some(reason) = self.find_failure() {
             return self.stop_or_roll_back(interval.now, reason, actions);
         }
-        let is_ready =
-            |server: &String| self.complies(server) && self.has_recent_report(interval.now, server);
-        if interval.is_settled && view.alive.iter().all(is_ready) {
+        if interval.is_settled && self.first_unready(interval).is_none() {
             self.state.phase = Phase::Baking;
             self.phase_began = interval.now;
             self.save(actions);
--- a/crates/rollout/tests/rollouts/absent_servers.rs
+++ b/crates/rollout/tests/rollouts/absent_servers.rs
@@ -218,3 +218,38 @@
     assert!(matches!(&phase, Phase::RolledBack { unconfirmed, .. } if unconfirmed.is_empty()), "{phase:?}");
     fleet.assert_none_changed();
 }
+
+/// Guards against a rollout that is called done while a changed server has gone back to its own settings, as
+/// after a restart without the file of the change.
+#[test]
+fn a_rollout_is_not_done_while_a_changed_server_runs_its_own_settings() {
+    let mut fleet = Fleet::new(4, Change::None, 89);
+    let mut coordinator = begin(plan());
+    while coordinator.state().stage < 3 || coordinator.state().phase != Phase::Baking {
+        fleet.run_interval(&mut coordinator);
+    }
+    // The last stage bakes for 20 s; the response timeout is 10 s.
+    fleet.run(&mut coordinator, 14);
+    fleet.servers[2].refuses = true;
+    fleet.servers[2].adopted = false;
+    let phase = fleet.run(&mut coordinator, 100);
+    let Phase::RolledBack { reason, .. } = phase else { panic!("{phase:?}: {:?}", fleet.messages) };
+    assert!(reason.starts_with("s2 refuses: "), "{reason}");
+}
+
+/// Guards against a rollout that is called done although a changed server has died, and the view has not
+/// noticed it yet.
+#[test]
+fn a_rollout_is_not_done_while_a_changed_server_leaves_orders_unanswered() {
+    let mut fleet = Fleet::new(4, Change::None, 93);
+    let mut coordinator = begin(plan());
+    while coordinator.state().stage < 3 || coordinator.state().phase != Phase::Baking {
+        fleet.run_interval(&mut coordinator);
+    }
+    // The last stage bakes for 20 s.
+    fleet.run(&mut coordinator, 14);
+    fleet.servers[2].is_silent = true;
+    let phase = fleet.run(&mut coordinator, 100);
+    let Phase::RolledBack { reason, .. } = phase else { panic!("{phase:?}: {:?}", fleet.messages) };
+    assert_eq!(reason, "s2 does not report that it runs what it was ordered to");
+}
