The end of a rollout over the whole fleet names the servers that it left out

Seen in simulated time: a server is away when the last stage, which is to change all, begins. It comes back by its own settings, or does not, and the end says "done: all stages went through" and nothing else.

Cause: the size of a stage is a share of the servers that are alive when it begins; who was known to the plan before or joins later was nowhere asked for.

Change: where the last stage is to change the whole fleet, the end names the servers with a baseline or alive that the plan has not changed ("NOT CHANGED: s1"), and the state file keeps them (`left_out`; a file of the last release reads as before, and it passes over the field).

Evidence: the_end_names_a_server_that_was_away_when_the_last_stage_began failed before in both cases ("done: all stages went through") and passes now, as do the other tests of the crate.

--- a/crates/rollout/src/coordinator/baking.rs
+++ b/crates/rollout/src/coordinator/baking.rs
@@ -109,6 +109,7 @@
         } else if stage + 1 < self.plan.stages.len() {
             self.begin_stage(interval.now, stage + 1, interval.view, actions);
         } else {
+            self.state.left_out = self.left_out_servers(interval.view);
             self.end(Phase::Done, actions);
         }
     }
--- a/crates/rollout/src/coordinator/rollback.rs
+++ b/crates/rollout/src/coordinator/rollback.rs
@@ -70,7 +70,11 @@
     /// Ends the plan. `phase` is the final phase, for which [`Phase::has_ended`] must be true.
     pub(super) fn end(&mut self, phase: Phase, actions: &mut Vec<Action>) {
         let message = match &phase {
-            Phase::Done => "done: all stages went through".to_string(),
+            Phase::Done if self.state.left_out.is_empty() => "done: all stages went through".to_string(),
+            Phase::Done => {
+                let left_out: Vec<&str> = self.state.left_out.iter().map(String::as_str).collect();
+                format!("done: all stages went through; NOT CHANGED: {}", left_out.join(", "))
+            }
             Phase::Stopped { reason } => format!("stopped: {reason}"),
             Phase::RolledBack { reason, unconfirmed } if unconfirmed.is_empty() => {
                 format!("rolled back: {reason}")
--- a/crates/rollout/src/coordinator/stages.rs
+++ b/crates/rollout/src/coordinator/stages.rs
@@ -5,6 +5,7 @@
 use crate::baseline::BASELINE_INTERVALS_MIN;
 use crate::canary::Canary;
 use siphasher::sip::SipHasher13;
+use std::collections::BTreeSet;
 use std::hash::{Hash, Hasher};
 
 impl Coordinator {
@@ -76,6 +77,18 @@
         view.alive.iter().filter(|server| !self.state.changed.contains(*server)).cloned().collect()
     }
 
+    /// Returns the names of the servers that the current stage should have changed and has not: if it is to
+    /// change the whole fleet, all others that are alive or have a baseline. These servers were away when the
+    /// stage began, or have joined since.
+    pub(super) fn left_out_servers(&self, view: &FleetView) -> BTreeSet<String> {
+        let known: BTreeSet<String> = self.state.baselines.servers().chain(&view.alive).cloned().collect();
+        let size = self.plan.stages[self.state.stage].size.server_count(known.len());
+        if size < known.len() {
+            return BTreeSet::new();
+        }
+        known.difference(&self.state.changed).cloned().collect()
+    }
+
     /// Begins the comparison phase (baking) when the view is settled and all servers have recently reported
     /// that they comply with their orders.
     pub(super) fn handle_applying(&mut self, interval: &Interval, actions: &mut Vec<Action>) {
--- a/crates/rollout/src/coordinator/state.rs
+++ b/crates/rollout/src/coordinator/state.rs
@@ -69,6 +69,10 @@
     /// this field.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub pending_rollback: Option<BTreeSet<String>>,
+    /// Names of the servers that are known to the plan and were left out of its last stage although this stage
+    /// was to change the whole fleet. Empty until the plan is done.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub left_out: BTreeSet<String>,
     /// Baselines of the servers, measured before any server is changed.
     pub baselines: Baselines,
 }
@@ -83,6 +87,7 @@
             stage: 0,
             changed: BTreeSet::new(),
             pending_rollback: None,
+            left_out: BTreeSet::new(),
             baselines: Baselines::default(),
         }
     }
--- a/crates/rollout/tests/fixed_bytes.rs
+++ b/crates/rollout/tests/fixed_bytes.rs
@@ -123,6 +123,7 @@
         stage: 1,
         changed: ["s0".to_string(), "s1".to_string()].into(),
         pending_rollback: None,
+        left_out: Default::default(),
         baselines: baselines(),
     };
     let files: Vec<(&str, PersistedState)> =
--- a/crates/rollout/tests/rollouts/absent_servers.rs
+++ b/crates/rollout/tests/rollouts/absent_servers.rs
@@ -5,6 +5,7 @@
 use meadowstream_rollout::coordinator::{Coordinator, Phase};
 use meadowstream_rollout::plan::{OnRegression, Plan};
 use meadowstream_rollout::wire::Report;
+use test_case::test_case;
 
 /// Runs a rollout until its first stage is compared. Returns the index of the only changed server.
 fn run_until_first_stage_bakes(fleet: &mut Fleet, coordinator: &mut Coordinator) -> usize {
@@ -253,3 +254,27 @@
     let Phase::RolledBack { reason, .. } = phase else { panic!("{phase:?}: {:?}", fleet.messages) };
     assert_eq!(reason, "s2 does not report that it runs what it was ordered to");
 }
+
+/// Guards against a rollout over the whole fleet that is called done without a word of a server which was away
+/// when the last stage began.
+#[test_case(true; "and it is back at the end")]
+#[test_case(false; "and it stays away")]
+fn the_end_names_a_server_that_was_away_when_the_last_stage_began(returns: bool) {
+    let mut fleet = Fleet::new(4, Change::None, 90);
+    let mut coordinator = begin(plan());
+    while coordinator.state().stage < 2 || coordinator.state().phase != Phase::Baking {
+        fleet.run_interval(&mut coordinator);
+    }
+    let changed = &coordinator.state().changed;
+    let away = (0..4).find(|server| !changed.contains(&format!("s{server}"))).unwrap();
+    forget(&mut fleet, away);
+    while coordinator.state().stage < 3 || coordinator.state().phase != Phase::Baking {
+        fleet.run_interval(&mut coordinator);
+    }
+    fleet.servers[away].is_down = !returns;
+    fleet.settled = 0;
+    assert_eq!(fleet.run(&mut coordinator, 100), Phase::Done, "{:?}", fleet.messages);
+    assert_eq!(coordinator.state().left_out, [format!("s{away}")].into());
+    let last = fleet.messages.last().unwrap();
+    assert_eq!(*last, format!("done: all stages went through; NOT CHANGED: s{away}"));
+}
