`rollout status` and each end say who may run the change

What operators saw: after each rollback `rollout status` said "0 servers have adopted the change", while the mark of a server that was away had it; of a stage under way it said that servers have adopted the change that were ordered to; a stop did not say on whom the change stays.

Cause: one sentence for all phases, made of the list of servers that are ordered to run the change. An order was taken for its execution, and no order for no change.

Change: a sentence a phase (`coordinator/summary.rs`): ordered, not confirmed yet, may still run it, have adopted it. The command's last line, the coordinator's and `status` are now the same text, made in one place; "not confirmed by" is "NOT CONFIRMED by" in all three, a stop ends with "NOT ROLLED BACK: s0".

Evidence: all nine cases of status_names_who_has_the_change failed before ("0 servers have adopted the change: " for ["s0"]) and pass now, as do the tests of the rollout crate.

--- a/crates/rollout/src/coordinator/mod.rs
+++ b/crates/rollout/src/coordinator/mod.rs
@@ -16,6 +16,7 @@
 mod rollback;
 mod stages;
 mod state;
+mod summary;
 
 pub use state::{PersistedState, Phase};
 
--- a/crates/rollout/src/coordinator/rollback.rs
+++ b/crates/rollout/src/coordinator/rollback.rs
@@ -69,23 +69,8 @@
 
     /// Ends the plan. `phase` is the final phase, for which [`Phase::has_ended`] must be true.
     pub(super) fn end(&mut self, phase: Phase, actions: &mut Vec<Action>) {
-        let message = match &phase {
-            Phase::Done if self.state.left_out.is_empty() => "done: all stages went through".to_string(),
-            Phase::Done => {
-                let left_out: Vec<&str> = self.state.left_out.iter().map(String::as_str).collect();
-                format!("done: all stages went through; NOT CHANGED: {}", left_out.join(", "))
-            }
-            Phase::Stopped { reason } => format!("stopped: {reason}"),
-            Phase::RolledBack { reason, unconfirmed } if unconfirmed.is_empty() => {
-                format!("rolled back: {reason}")
-            }
-            Phase::RolledBack { reason, unconfirmed } => {
-                format!("rolled back: {reason}; NOT CONFIRMED by {}", unconfirmed.join(", "))
-            }
-            Phase::Waiting | Phase::Applying | Phase::Baking | Phase::RollingBack { .. } => String::new(),
-        };
         self.state.phase = phase;
         self.save(actions);
-        self.notify(actions, &message);
+        self.notify(actions, &self.state.describe_phase());
     }
 }
--- a/crates/server/src/fleet/coordinator.rs
+++ b/crates/server/src/fleet/coordinator.rs
@@ -62,36 +62,18 @@
 /// Prints the progress of a rollout, which the coordinator has saved in the state file.
 pub fn status(state: &Path) -> Result<()> {
     let saved = read_state(state)?.with_context(|| format!("{}: no rollout has begun", state.display()))?;
-    let changed: Vec<&str> = saved.changed.iter().map(String::as_str).collect();
     println!("plan {:?}, settings {:016x}, stage {}", saved.plan, saved.candidate, saved.stage + 1);
-    println!("{}", describe_phase(&saved.phase));
-    println!("{} servers have adopted the change: {}", changed.len(), changed.join(", "));
+    println!("{}", saved.describe_phase());
+    println!("{}", saved.describe_servers());
     Ok(())
 }
 
-fn describe_phase(phase: &Phase) -> String {
-    match phase {
-        Phase::Waiting => "waiting".into(),
-        Phase::Applying => "applying".into(),
-        Phase::Baking => "baking".into(),
-        Phase::RollingBack { reason } => format!("rolling back: {reason}"),
-        Phase::Done => "done".into(),
-        Phase::Stopped { reason } => format!("stopped: {reason}"),
-        Phase::RolledBack { reason, unconfirmed } if unconfirmed.is_empty() => {
-            format!("rolled back: {reason}")
-        }
-        Phase::RolledBack { reason, unconfirmed } => {
-            format!("rolled back: {reason}; not confirmed by {}", unconfirmed.join(", "))
-        }
-    }
-}
-
 /// Requests the rollback of a rollout by writing a request file next to the state file. A running coordinator
 /// reads the request in its next interval. If no coordinator is running, the next coordinator that is started
 /// with this state file reads the request.
 pub fn abort(state: &Path) -> Result<()> {
     let saved = read_state(state)?.with_context(|| format!("{}: no rollout has begun", state.display()))?;
-    ensure!(!saved.phase.has_ended(), "the plan has ended already: {}", describe_phase(&saved.phase));
+    ensure!(!saved.phase.has_ended(), "the plan has ended already: {}", saved.describe_phase());
     files::write(&abort_path(state), b"abort\n").context("cannot write")?;
     println!("the coordinator will roll back; if it is not running, it does so when it is started again");
     Ok(())
@@ -129,14 +111,12 @@
     ensure!(locked.is_ok(), "{}: another coordinator is using this state", arguments.state.display());
     let saved = read_state(&arguments.state)?;
     if let Some(ended) = saved.as_ref().filter(|saved| saved.phase.has_ended()) {
-        let (state, outcome) = (arguments.state.display(), describe_phase(&ended.phase));
+        let (state, outcome) = (arguments.state.display(), ended.describe_phase());
         bail!("this plan has ended ({outcome}); remove {state} to start it again");
     }
-    let phase = async_io::block_on(coordinate(arguments, plan, saved, &fleet))?;
-    match phase {
-        Phase::Done => Ok(()),
-        other => Err(anyhow!("{}", describe_phase(&other))),
-    }
+    let ended = async_io::block_on(coordinate(arguments, plan, saved, &fleet))?;
+    ensure!(ended.phase == Phase::Done, "{}", ended.describe_phase());
+    Ok(())
 }
 
 fn lock_path(state: &Path) -> PathBuf {
@@ -162,7 +142,7 @@
     plan: Plan,
     saved: Option<PersistedState>,
     fleet: &FleetSettings,
-) -> Result<Phase> {
+) -> Result<PersistedState> {
     let fleet_member = NonServingMember::join(fleet)?;
     let (interval, resumes) = (plan.interval, saved.is_some());
     let coordinator = Coordinator::new(plan, saved, fleet_member.incarnation, fleet_member.now());
@@ -180,7 +160,7 @@
         println!("{:8.1} s  {line}", elapsed_ns as f64 / 1e9);
     }
 
-    async fn run(&mut self) -> Result<Phase> {
+    async fn run(&mut self) -> Result<PersistedState> {
         loop {
             let now = self.fleet_member.now();
             let has_lease = self.fleet_member.request_lease(ROLLOUTS, true);
@@ -192,7 +172,7 @@
                 // Sends the last orders to the servers before the coordinator leaves the fleet.
                 self.fleet_member.step(self.fleet_member.now()).await;
                 self.fleet_member.leave().await;
-                return Ok(self.coordinator.state().phase.clone());
+                return Ok(self.coordinator.state().clone());
             }
             self.receive_reports().await;
         }
