A server that is still adopting a change does not report that it goes by its own

Seen on real processes: an abort while a server reads the new program ended after 0.3 s with "rolled back: aborted by the operator" and nobody named; the server then marked the new program, left, and would have been started by it, with nobody ordering it back.

Cause: a change is a task beside the answers to orders, and a report says what runs now. An order to go back found the server not changed yet, so there was nothing to do, and its report was the confirmation.

Change: while a change is in progress the server answers no order; the coordinator repeats it, and a server that never ends its change is silent and found by the clocks.

The rollout tests of the processes are a folder now, with their harness in a module.

--- a/crates/rollout/tests/rollouts/main.rs
+++ b/crates/rollout/tests/rollouts/main.rs
@@ -5,6 +5,7 @@
 
 mod absent_servers;
 mod simulated_fleet;
+mod soak;
 
 use meadowstream_rollout::coordinator::{Action, Coordinator, FleetView, Phase};
 use meadowstream_rollout::plan::{OnRegression, Plan, StageSize};
--- a/crates/rollout/tests/rollouts/simulated_fleet.rs
+++ b/crates/rollout/tests/rollouts/simulated_fleet.rs
@@ -46,6 +46,10 @@
     pub refuses: bool,
     /// Whether the server refuses the order to roll back while it runs the change.
     pub cannot_roll_back: bool,
+    /// Number of intervals that the server takes to apply or to roll back the change.
+    pub change_intervals: u64,
+    /// The change in progress: whether the server will run the change, and the interval in which this begins.
+    pub changing: Option<(bool, u64)>,
     /// Whether the server ignores all orders and never sends a report.
     pub is_silent: bool,
     /// Whether the server is down and has been removed from the view.
@@ -232,12 +236,23 @@
             return;
         }
         server.last_order = (order.incarnation, order.sequence);
+        if let Some((adopted, _)) = server.changing.filter(|(_, until)| *until <= self.interval) {
+            server.adopted = adopted;
+            server.changing = None;
+        }
+        if server.changing.is_some() {
+            // A server does not report while it changes, because it would report what is about to end.
+            return;
+        }
         let mut refused = None;
         match order.adopt {
             Some(_) if server.refuses => refused = Some("line 3, <control>: reference: 7".to_string()),
             None if server.cannot_roll_back && server.adopted => {
                 refused = Some("cannot read its own settings".into())
             }
+            adopt if server.change_intervals > 0 && server.adopted != adopt.is_some() => {
+                server.changing = Some((adopt.is_some(), self.interval + server.change_intervals));
+            }
             adopt => {
                 if server.adopted != adopt.is_some() && self.restarts {
                     server.age = 0;
--- a/crates/server/src/fleet/rollout.rs
+++ b/crates/server/src/fleet/rollout.rs
@@ -70,10 +70,12 @@
 }
 
 /// Handles an order from an authenticated member, and returns the report to send in reply. Returns `None` in
-/// two cases:
+/// three cases:
 /// - The order is outdated or a duplicate.
 /// - The order changes the program, but the file of the running program has not been read yet. The
 ///   coordinator sends the order again.
+/// - An earlier order's change is still in progress. A report would state what is about to end, and the
+///   coordinator could take it for the confirmation of a rollback. The coordinator sends the order again.
 pub fn handle_order(server: &Rc<Server>, rollout: &Rollout, order: Order) -> Option<Report> {
     let now = server.clock.now();
     if rollout.is_stale(&order) {
@@ -88,6 +90,9 @@
         return Some(rollout.report(&order, program, Some(refused)));
     }
     accept(rollout, &order, now);
+    if rollout.is_changing.get() {
+        return None;
+    }
     start_change(server, rollout, &order, program);
     rollout.intervals.set(rollout.intervals.get() + 1);
     let refused = rollout.refused.borrow().clone();
@@ -106,17 +111,18 @@
     *last = LastOrder { plan: order.plan.clone(), incarnation, sequence, at: now };
 }
 
-/// Starts the change that an order requests. Does nothing if the change is already made or another change is
-/// in progress.
+/// Starts the change that an order requests. Does nothing if the change is already made. No other change may
+/// be in progress.
 fn start_change(server: &Rc<Server>, rollout: &Rollout, order: &Order, program: Option<OwnProgram>) {
     let (kind, adopt) = (order.kind, order.adopt);
     let is_made = match program {
         None => adopt == rollout.adopted.get(),
         Some(program) => adopt == program.adopted.then_some(program.hash),
     };
-    if is_made || rollout.is_changing.replace(true) {
+    if is_made {
         return;
     }
+    rollout.is_changing.set(true);
     let server_of_task = server.clone();
     let task = async move {
         match kind {
