A server that cannot mark the change goes back to its own settings

Seen on real processes: the mark of the change cannot be written (ENOSPC, EIO; in the test a folder stands in the temporary file's place).

Cause: the settings were taken over before the mark was written, and what the server reports was set only where both went well. An order to go back found nothing to do, and the report said that the server goes by its own.

Change: where the mark cannot be written the server goes back to its own settings and refuses. What it reports is read from the settings in force after each change, also one that failed halfway; where the way back fails as well it reports the change and the refusal, and the coordinator does not take a server that refuses for one that complies.

--- a/crates/cli/tests/fleet_rollout/unfinished_changes.rs
+++ b/crates/cli/tests/fleet_rollout/unfinished_changes.rs
@@ -2,7 +2,8 @@
 //! server goes by its own settings or program while it does not, or will not after a restart.
 
 use crate::harness::{
-    ALL, Coordinator, lock_exclusive, start_fleet, start_loads, write_candidate, write_plan,
+    ALL, Coordinator, adoption_mark, expect_all_answered, lock_exclusive, start_fleet, start_loads,
+    write_candidate, write_plan,
 };
 use meadowstream_test_doubles::fleet::{FleetHarness, wait_for};
 use rustix::fs::{CWD, FileType, Mode, mknodat};
@@ -20,6 +21,35 @@
     assert!(command.args(["rollout", "abort"]).arg(plan).status().unwrap().success());
 }
 
+/// Guards against a rollback that is called complete while a server runs the change, because the server could
+/// not write the mark of the change after it had adopted it.
+#[test]
+fn a_server_that_cannot_mark_the_change_does_not_keep_it() {
+    let _exclusive = lock_exclusive();
+    let fleet = start_fleet(47);
+    // A server with this setting rejects most of its load.
+    write_candidate(&fleet, "<control reference=\"0.15\"/>");
+    let plan = write_plan(&fleet, "unmarked");
+    // A folder in the place of the temporary file lets each write of a mark fail.
+    for i in ALL {
+        let mut temporary = adoption_mark(&fleet, i).into_os_string();
+        temporary.push(".new");
+        std::fs::create_dir(temporary).unwrap();
+    }
+    let load = start_loads(&fleet, Duration::from_secs(15));
+    std::thread::sleep(Duration::from_secs(2));
+    let mut coordinator = Coordinator::start(&fleet, &plan, 6, 20);
+    assert_eq!(coordinator.wait_for_exit(Duration::from_secs(40)), 1);
+    println!("{:#?}", coordinator.lines.lock().unwrap());
+    assert!(coordinator.has_printed("refuses: cannot write the file that marks the settings as adopted"));
+    assert!(!coordinator.has_printed("NOT CONFIRMED"));
+    expect_all_answered(load);
+    let replies = expect_all_answered(start_loads(&fleet, Duration::from_secs(4)));
+    let throttled: Vec<u64> = replies.iter().map(|each| each.throttled).collect();
+    let sent = replies[0].sent;
+    assert!(throttled.iter().all(|count| *count * 5 < sent), "throttled {throttled:?} of {sent} each");
+}
+
 /// Guards against a rollback that is called complete while a server is about to run the change: it reads the
 /// new program when it is ordered back, and reports that it runs its own.
 #[test]
--- a/crates/rollout/src/coordinator/compliance.rs
+++ b/crates/rollout/src/coordinator/compliance.rs
@@ -34,12 +34,12 @@
 
 impl Coordinator {
     /// Returns whether a server complies with its order, according to its latest report. A server that was
-    /// selected for the change must run the plan's new settings or program. Any other server must run its own
+    /// selected for the change must run the plan's new settings or program and refuse nothing. Any other server must run its own
     /// settings or program. A server without a report does not comply.
     pub(super) fn complies(&self, server: &str) -> bool {
         let Some(received) = self.reports.get(server) else { return false };
         if self.state.changed.contains(server) {
-            received.report.running_hash == self.plan.candidate
+            received.report.running_hash == self.plan.candidate && received.report.refused.is_none()
         } else {
             !received.report.adopted
         }
--- a/crates/rollout/tests/rollouts/absent_servers.rs
+++ b/crates/rollout/tests/rollouts/absent_servers.rs
@@ -278,3 +278,17 @@
     let last = fleet.messages.last().unwrap();
     assert_eq!(*last, format!("done: all stages went through; NOT CHANGED: s{away}"));
 }
+
+/// Guards against a server that runs the change, cannot keep it over a restart and says so, and is taken for
+/// one that complies.
+#[test]
+fn a_changed_server_that_refuses_does_not_comply() {
+    let mut fleet = Fleet::new(4, Change::None, 94);
+    let mut coordinator = begin(plan());
+    let first = run_until_first_stage_bakes(&mut fleet, &mut coordinator);
+    fleet.servers[first].refuses = true;
+    assert!(fleet.servers[first].adopted);
+    let phase = fleet.run(&mut coordinator, 300);
+    let Phase::RolledBack { reason, .. } = phase else { panic!("{phase:?}: {:?}", fleet.messages) };
+    assert!(reason.starts_with(&format!("s{first} refuses: ")), "{reason}");
+}
--- a/crates/server/src/fleet/rollout.rs
+++ b/crates/server/src/fleet/rollout.rs
@@ -141,21 +141,28 @@
         Some(hash) => adopt_candidate(&server, rollout, hash).await,
     };
     match changed {
-        Ok(()) => {
-            rollout.adopted.set(adopt);
-            *rollout.refused.borrow_mut() = None;
-            let settings = adopt.unwrap_or(rollout.candidate.own_hash);
-            rollout.versions.borrow_mut().set_settings(settings);
-            let settings = format!("{settings:016x}");
-            info!(target: "fleet", adopted = adopt.is_some(), settings, "settings");
-            // The answers recorded so far belong to the previous settings, so these answers are discarded.
-            rollout.recorder.take();
-        }
+        Ok(()) => *rollout.refused.borrow_mut() = None,
         Err(error) => refuse(rollout, &error),
     }
+    record_settings_in_force(&server, rollout);
     rollout.is_changing.set(false);
 }
 
+/// Records which settings are in force after a change that may have failed halfway, so that reports state what
+/// the server runs. Does nothing if the settings are those of before.
+fn record_settings_in_force(server: &Server, rollout: &Rollout) {
+    let in_force = server.configuration.candidate.borrow().as_ref().and_then(|candidate| candidate.adopted);
+    if rollout.adopted.replace(in_force) == in_force {
+        return;
+    }
+    let settings = in_force.unwrap_or(rollout.candidate.own_hash);
+    rollout.versions.borrow_mut().set_settings(settings);
+    let settings = format!("{settings:016x}");
+    info!(target: "fleet", adopted = in_force.is_some(), settings, "settings");
+    // The answers recorded so far belong to the previous settings, so these answers are discarded.
+    rollout.recorder.take();
+}
+
 /// Returns to the server's own settings. The file that marks the candidate settings as adopted is removed
 /// first. If the server crashes before the settings are changed, the server restarts with its own settings.
 async fn adopt_own(server: &Rc<Server>, rollout: &Rollout) -> Result<(), AdoptError> {
@@ -166,13 +173,19 @@
 }
 
 /// Adopts the candidate settings of a rollout. The file that marks the settings as adopted is written last.
-/// If the server crashes before the file is written, the server restarts with its own settings.
+/// If the server crashes before the file is written, the server restarts with its own settings. If the file
+/// cannot be written, the server returns to its own settings.
 async fn adopt_candidate(server: &Rc<Server>, rollout: &Rollout, hash: u64) -> Result<(), AdoptError> {
     reload::adopt(server, Some(hash)).await?;
     let mark = rollout.candidate.mark.clone();
     let line = format!("{hash:016x}\n");
     let written = blocking::unblock(move || files::write(&mark, line.as_bytes())).await;
-    written.map_err(AdoptError::WriteMark)
+    if let Err(error) = written {
+        // The write may have failed after the file had its name, so the file is removed, too.
+        adopt_own(server, rollout).await?;
+        return Err(AdoptError::WriteMark(error));
+    }
+    Ok(())
 }
 
 /// Makes the server exit so that its supervisor starts another program. This function writes the path of the
