A report to the coordinator before its restart confirms nothing to the restarted one

Cause: each coordinator numbered its orders from 1, and a report names the number alone. After a restart in the middle of a rollback, a delayed report on an order of the coordinator before the restart fell among the numbers of the new one. Written before the server had adopted the change, it says "not adopted", and the rollback ended without naming a server that still runs the change.

Change: the numbers begin after the coordinator's incarnation, its start in nanoseconds, so those of two coordinators do not meet. The message stays as it is; servers compare incarnation and number as before.

Test: a_report_on_an_order_from_before_a_restart_of_the_coordinator_does_not_confirm_a_rollback failed before ("left: [], right: [s0]") and passes now; all tests of the crate pass. The test of a report from before the rollback now names the number of the last order by the new count.

--- a/crates/rollout/src/coordinator/compliance.rs
+++ b/crates/rollout/src/coordinator/compliance.rs
@@ -34,8 +34,8 @@
 
 impl Coordinator {
     /// Returns whether a server complies with its order, according to its latest report. A server that was
-    /// selected for the change must run the plan's new settings or program and refuse nothing. Any other server must run its own
-    /// settings or program. A server without a report does not comply.
+    /// selected for the change must run the plan's new settings or program and refuse nothing. Any other
+    /// server must run its own settings or program. A server without a report does not comply.
     pub(super) fn complies(&self, server: &str) -> bool {
         let Some(received) = self.reports.get(server) else { return false };
         if self.state.changed.contains(server) {
--- a/crates/rollout/src/coordinator/mod.rs
+++ b/crates/rollout/src/coordinator/mod.rs
@@ -96,8 +96,9 @@
     plan: Plan,
     /// Start time of this coordinator, in nanoseconds since the Unix epoch.
     incarnation: u64,
-    /// Sequence number of the orders that this coordinator sent last; 0 before the first orders. All orders
-    /// of one interval have the same number.
+    /// Sequence number of the orders that this coordinator sent last. All orders of one interval have the same
+    /// number. The numbers begin after the incarnation, so that no report on an order of an earlier coordinator
+    /// is taken for a report on an order of this one.
     order_sequence: u64,
     state: PersistedState,
     /// Time at which the current phase of the plan began, in nanoseconds on the caller's clock.
@@ -105,8 +106,8 @@
     /// Time in nanoseconds for which this coordinator has ordered the servers to roll back. Only time with the
     /// rollout lease is counted.
     rolled_back_for: Nanos,
-    /// Sequence number of the last order before the rollback; 0 if this coordinator has only sent orders to
-    /// roll back. Reports on this order and on earlier ones confirm nothing.
+    /// Sequence number of the last order before the rollback; the incarnation if this coordinator has only sent
+    /// orders to roll back. Reports on this order and on earlier ones confirm nothing.
     last_order_before_rollback: u64,
     /// Time in nanoseconds for which the current stage has baked so far. Time counts only after the warm-up,
     /// while this coordinator holds the rollout lease and the view is settled.
@@ -161,11 +162,11 @@
         Ok(Coordinator {
             plan,
             incarnation,
-            order_sequence: 0,
+            order_sequence: incarnation,
             state,
             phase_began: now,
             rolled_back_for: 0,
-            last_order_before_rollback: 0,
+            last_order_before_rollback: incarnation,
             baked: 0,
             verdicts: 0,
             canary: Canary::default(),
@@ -186,7 +187,8 @@
     /// and a report on an order that was never sent. Also ignores a report if the coordinator already has a
     /// report of this server on the same or a later order.
     pub fn handle_report(&mut self, now: Nanos, server: &str, report: Report) {
-        let answers_an_order = (1..=self.order_sequence).contains(&report.order_sequence);
+        let sent_orders = self.incarnation + 1..=self.order_sequence;
+        let answers_an_order = sent_orders.contains(&report.order_sequence);
         if !answers_an_order || report.classes.len() > CLASSES_MAX {
             return;
         }
