A seeded soak of rollouts over processes, in which a changed server is away

In each play of four servers a server that has the change dies (KILL) or leaves (TERM), for a time or for good, in the first or second of three stages; the view forgets it after 12 s. The seed decides when it comes back, the patience, stop or roll-back, whether the operator aborts, and whether the coordinator is killed and started again. The end's last line and `rollout status` are compared with the marks on the servers' disks; the change must not spread while the server is away for longer than the patience.

--- a/crates/cli/tests/fleet_rollout/harness.rs
+++ b/crates/cli/tests/fleet_rollout/harness.rs
@@ -1,7 +1,7 @@
 //! Starts the fleets, loads, plans and coordinators of the rollout tests, and reads what they log and print.
 
 use meadowstream_test_doubles::downstream_service;
-use meadowstream_test_doubles::fleet::{FleetHarness, HarnessOptions, wait_for};
+use meadowstream_test_doubles::fleet::{FleetHarness, HarnessOptions, SUSPICION_PERIODS, wait_for};
 use meadowstream_test_doubles::open_loop::{self, ReplyCounts};
 use std::io::{BufRead, BufReader};
 use std::net::{TcpListener, UdpSocket};
@@ -22,6 +22,12 @@
 }
 
 pub fn start_fleet(seed: u64) -> FleetHarness {
+    start_servers(seed, ALL.len(), SUSPICION_PERIODS)
+}
+
+/// Starts `servers` servers, with two further endpoints of the relay for coordinators.
+pub fn start_servers(seed: u64, servers: usize, suspicion_periods: u64) -> FleetHarness {
+    let endpoints = servers + 2;
     let (downstream, _) = downstream_service::start(Duration::from_millis(5)).unwrap();
     let rollout = format!(
         r#"<rollout candidate="next.xml" program="next" servers="10" lease-ms="1500">{VOTERS}</rollout>"#
@@ -29,27 +35,38 @@
     // The servers keep their ports over a restart, at an IP address that only this test uses. All listeners
     // stay open until a free port is known for each server; otherwise the system could return a port twice.
     let test_address = format!("127.0.{seed}.1:0");
-    let listeners: Vec<TcpListener> = (0..8).map(|_| TcpListener::bind(&test_address).unwrap()).collect();
+    let listeners: Vec<TcpListener> =
+        (0..endpoints).map(|_| TcpListener::bind(&test_address).unwrap()).collect();
     let listen_addresses = listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
     drop(listeners);
     let options = HarnessOptions {
         cores: 2.0,
-        downstream_services: vec![downstream; 6],
+        downstream_services: vec![downstream; servers],
+        suspicion_periods,
         options: rollout,
         listen_addresses,
         ..HarnessOptions::default()
     };
     let program = Path::new(env!("CARGO_BIN_EXE_meadowstream"));
-    // The relay has eight endpoints: six for the servers and two for coordinators.
-    let fleet = FleetHarness::with_options(program, 8, 6, seed, options).unwrap();
-    fleet.wait_for_agreement(&ALL, Instant::now(), Duration::from_secs(15)).unwrap();
+    let fleet = FleetHarness::with_options(program, endpoints, servers, seed, options).unwrap();
+    fleet.wait_for_agreement(&ALL[..servers], Instant::now(), Duration::from_secs(15)).unwrap();
     fleet
 }
 
 /// Starts a load on each server for the time `span`. Each load uses half of the cores of its server.
 pub fn start_loads(fleet: &FleetHarness, span: Duration) -> Vec<JoinHandle<ReplyCounts>> {
+    start_loads_on(fleet, &ALL, span)
+}
+
+/// Starts a load on each of the servers `servers`, as [`start_loads`] does.
+pub fn start_loads_on(
+    fleet: &FleetHarness,
+    servers: &[usize],
+    span: Duration,
+) -> Vec<JoinHandle<ReplyCounts>> {
     let to = |i: usize| fleet.listen_address(i).expect("the server has logged its listen address");
-    ALL.iter()
+    servers
+        .iter()
         .map(|&i| open_loop::start(to(i), 100.0, Duration::from_millis(10), span, i as u64 + 1))
         .collect()
 }
@@ -86,13 +103,24 @@
 impl Coordinator {
     /// Starts a coordinator at a new port, which other processes reach through the relay's `endpoint`.
     pub fn start(fleet: &FleetHarness, plan: &Path, endpoint: usize, wait_s: u64) -> Coordinator {
+        Coordinator::start_with(fleet, plan, endpoint, wait_s, SUSPICION_PERIODS)
+    }
+
+    /// Starts a coordinator in a fleet in which a member stays suspect for `suspicion_periods` probe periods.
+    pub fn start_with(
+        fleet: &FleetHarness,
+        plan: &Path,
+        endpoint: usize,
+        wait_s: u64,
+        suspicion_periods: u64,
+    ) -> Coordinator {
         let free = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
         fleet.relay.register(endpoint, free);
         let options = fleet.folder().join(format!("coordinator-{endpoint}.xml"));
         let text = format!(
             r#"<meadowstream xmlns="urn:meadowstream:options:1">
             <membership bind="{free}" advertise="{}" fleet="rehearsal" key-file="key" probe-period-ms="200"
-              probe-rtt-ms="80" suspicion-multiplier="5" gossip-period-ms="100" announce-period-ms="1000">
+              probe-rtt-ms="80" suspicion-multiplier="{suspicion_periods}" gossip-period-ms="100" announce-period-ms="1000">
             <seed address="{}"/><seed address="{}"/></membership>
             <rollout candidate="next.xml" servers="10" lease-ms="1500">{VOTERS}</rollout></meadowstream>"#,
             fleet.relay.endpoint(endpoint),
--- a/crates/cli/tests/fleet_rollout/main.rs
+++ b/crates/cli/tests/fleet_rollout/main.rs
@@ -2,6 +2,7 @@
 //! under load. The servers' logs show the settings in force, the clients count the results of calls.
 
 mod harness;
+mod soak;
 mod unfinished_changes;
 
 use harness::{
--- a/crates/test-doubles/src/fleet/files.rs
+++ b/crates/test-doubles/src/fleet/files.rs
@@ -25,6 +25,9 @@
     pub cores: f64,
     /// Address of the downstream service of each server. The index in the list is the index of the server.
     pub downstream_services: Vec<SocketAddr>,
+    /// Number of probe periods for which a member stays suspect; 0 selects [`SUSPICION_PERIODS`]. The view
+    /// forgets a dead member after a multiple of this time.
+    pub suspicion_periods: u64,
     /// Additional attributes of the element `<membership>` in the options files of all processes.
     pub membership_attributes: String,
     /// Additional XML elements in the options files of all processes.
@@ -57,6 +60,12 @@
     pub settings: Vec<(&'static str, Value)>,
 }
 
+impl HarnessOptions {
+    fn suspicion_periods(&self) -> u64 {
+        if self.suspicion_periods == 0 { SUSPICION_PERIODS } else { self.suspicion_periods }
+    }
+}
+
 /// Addresses that the configuration of one server contains.
 pub struct ServerAddresses {
     pub listen: String,
@@ -113,12 +122,13 @@
         let HarnessOptions { membership_attributes, options, .. } = harness_options;
         let fixed_bind = harness_options.first_membership_bind.filter(|_| *index == 0);
         let bind = fixed_bind.map_or("127.0.0.1:0".to_string(), |bind| bind.to_string());
+        let suspicion_periods = harness_options.suspicion_periods();
         let server_options = harness_options.server_options.get(*index).map_or("", String::as_str);
         write!(
             formatter,
             r#"<meadowstream xmlns="urn:meadowstream:options:1">
   <membership bind="{bind}" advertise="{advertised}" name="s{index}" fleet="rehearsal" key-file="key"
-      probe-period-ms="{PROBE_PERIOD_MS}" probe-rtt-ms="80" suspicion-multiplier="{SUSPICION_PERIODS}"
+      probe-period-ms="{PROBE_PERIOD_MS}" probe-rtt-ms="80" suspicion-multiplier="{suspicion_periods}"
       gossip-period-ms="100" announce-period-ms="1000" expected-members="{members}" {membership_attributes}>
     <seed address="{seed}"/>
   </membership>
