`publish` names a server that is away and lacks the revision

What operators saw: a server is killed, a change is published, and the command says "10 of 10 members go by it" and nothing else; so it is for servers that are cut off. Their list of those that lag was complete for the view, not for the fleet.

Cause: the leader drops what it knows of a member in the moment in which the view does not hold it alive.

Change: control machines keep what a member has reported for an hour after it is gone (those that never reported go at once, as `publish` itself), and the status lists such members with the reason "away". A new leader knows only of members that have reported to it.

--- a/crates/cli/tests/fleet_scale.rs
+++ b/crates/cli/tests/fleet_scale.rs
@@ -147,6 +147,23 @@
     assert!(succeeded && output.contains("11 of 11 members go by it"), "{output}");
 }
 
+/// Guards against a `publish` that says that all members go by the change and does not name a server that is
+/// away and does not have it.
+#[test]
+fn publish_names_a_server_that_is_away_and_lacks_the_change() {
+    let mut fleet = start_fleet(77);
+    let (succeeded, output) = publish(&fleet, &[write_weight_change(&fleet, 5).to_str().unwrap()]);
+    assert!(succeeded, "{output}");
+    let first = committed_revision(&output);
+    let killed = *servers().last().unwrap();
+    fleet.signal(killed, "KILL").unwrap();
+    let is_out_of_view = || publish(&fleet, &["status"]).1.contains("10 of 10 members").then_some(());
+    wait_for(WAIT_MAX, is_out_of_view).expect("the view holds the server to be down");
+    let (succeeded, output) = publish(&fleet, &[write_weight_change(&fleet, 6).to_str().unwrap()]);
+    let expected = format!("10 of 10 members go by it; not counted, since away: s{killed} goes by {first}");
+    assert!(succeeded && output.contains(&expected), "{output}");
+}
+
 #[test]
 fn changes_continue_after_the_publisher_and_a_relaying_server_are_killed() {
     let mut fleet = start_fleet(72);
--- a/crates/replication/src/member/control.rs
+++ b/crates/replication/src/member/control.rs
@@ -71,17 +71,20 @@
         self.advance_commit(now);
     }
 
-    /// Polls lagging members for their reports, and gives up operators' incomplete requests. Does nothing
-    /// unless this member is the leader and the next poll round is due.
+    /// Performs a poll round if it is due: records which members are alive, and on the leader polls lagging
+    /// members for their reports and gives up operators' incomplete requests.
     fn poll_lagging(&mut self, now: Nanos) {
         let Some(control) = &mut self.control else { return };
-        if !control.replica.is_leader() || now < control.poll_due {
+        if now < control.poll_due {
             return;
         }
         control.poll_due = now + POLL_ROUND_INTERVAL_NS;
-        control.requests.give_up_abandoned(now);
         let peers = &self.peers;
-        control.progress.retain(|name| peers.is_alive(name));
+        control.progress.observe_alive(now, |name| peers.is_alive(name));
+        if !control.replica.is_leader() {
+            return;
+        }
+        control.requests.give_up_abandoned(now);
         let newest = self.log.complete().number();
         for name in control.progress.poll(peers.others(), newest, now) {
             self.send(&name, &Message::PollReport, now);
--- a/crates/replication/src/member/mod.rs
+++ b/crates/replication/src/member/mod.rs
@@ -231,6 +231,14 @@
         self.progress().map_or(Vec::new(), |progress| progress.lagging(self.peers.others(), newest))
     }
 
+    /// Returns the members that are away and had not applied the newest revision when they last reported to
+    /// this control machine. The list is empty on a server.
+    pub fn away(&self) -> Vec<LaggingMember> {
+        let newest = self.log.complete().number();
+        let is_alive = |name: &str| self.peers.is_alive(name);
+        self.progress().map_or(Vec::new(), |progress| progress.away(is_alive, newest))
+    }
+
     /// Returns the number of key-value pairs received so far in the checkpoint transfer in progress; `None`
     /// if no transfer is in progress.
     pub fn transferred_pairs(&self) -> Option<usize> {
--- a/crates/replication/src/member/operator.rs
+++ b/crates/replication/src/member/operator.rs
@@ -4,14 +4,15 @@
 use super::Member;
 use crate::change::Change;
 use crate::committed_log::CommittedLog;
-use crate::message::{BODY_BYTES_MAX, LaggingSummary, Message, RequestId, RequestOutcome};
+use crate::message::{AWAY_REASON, BODY_BYTES_MAX, LaggingSummary, Message, RequestId, RequestOutcome};
 use crate::progress::LaggingMember;
 use crate::replica::ProposeError;
 use crate::requests::{PendingRequest, TooManyIncomplete};
 use crate::time::Nanos;
 use std::collections::BTreeSet;
 
-/// Maximum number of lagging members that the leader lists in one answer to a status request.
+/// Maximum number of members that the leader lists in one answer to a status request, lagging members first
+/// and then members that are away.
 const SUMMARIES_MAX: usize = 8;
 /// Number of characters to which the reason for a rejection is truncated in an answer to a status request.
 const SUMMARY_REASON_CHARACTERS: usize = 32;
@@ -68,6 +69,10 @@
     }
 }
 
+fn away_summary(member: &LaggingMember) -> LaggingSummary {
+    LaggingSummary { reason: AWAY_REASON.to_string(), ..summary(member) }
+}
+
 impl Member {
     /// Carries out an operator's request if this member is the leader. A repeated request to change the
     /// configuration is not carried out again: the leader repeats its answer, or ignores the repetition if
@@ -165,12 +170,14 @@
         let members = self.members_except(to);
         let mut lagging = self.lagging();
         lagging.retain(|member| member.name != to);
+        let away = self.away();
+        let summaries = lagging.iter().map(summary).chain(away.iter().map(away_summary));
         let status = Message::Status {
             request,
             number: self.log.complete().number(),
             members: members as u32,
             applied: (members - lagging.len()) as u32,
-            lagging: lagging.iter().take(SUMMARIES_MAX).map(summary).collect(),
+            lagging: summaries.take(SUMMARIES_MAX).collect(),
         };
         debug_assert!(status.encode().len() <= BODY_BYTES_MAX);
         self.send(to, &status, now);
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -22,6 +22,10 @@
 /// Maximum length of the reason for which a member rejects a revision, in bytes.
 pub const REASON_BYTES_MAX: usize = 200;
 
+/// Reason in a [`LaggingSummary`] of a member that is away: it has reported before and is not alive in the
+/// leader's view. Release 0.2 shows it like any other reason.
+pub const AWAY_REASON: &str = "away";
+
 /// States the number of the last entry in the leader's committed log at a given time. Members use the
 /// leader's statement to find out whether they hold the newest entries.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -98,9 +102,17 @@
     /// report yet.
     pub applied: u64,
     /// The beginning of the reason for which the member rejected a revision. Empty if it rejected none.
+    /// [`AWAY_REASON`] if the member is away.
     pub reason: String,
 }
 
+impl LaggingSummary {
+    /// Returns whether the member is away. Such a member is not counted in the status.
+    pub fn is_away(&self) -> bool {
+        self.reason == AWAY_REASON
+    }
+}
+
 /// A message between members.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
--- a/crates/replication/src/progress.rs
+++ b/crates/replication/src/progress.rs
@@ -2,6 +2,9 @@
 //! replica. Members that lag or have not reported yet are polled for a report. A member that has never
 //! reported and leaves several polls unanswered is treated as non-participating. Such a member is a server
 //! without replicated configuration, or an operator's command that has joined the fleet, such as `publish`.
+//!
+//! A member that has reported and is not alive any more is away. It is not waited for, since it pulls the
+//! newest revision when it returns, but the operator is told that it has not applied the revision.
 
 use crate::message::{Rejection, Report};
 use crate::time::{Nanos, SECOND_NS};
@@ -16,6 +19,9 @@
 /// Number of unanswered polls after which a member is treated as non-participating, if it has never sent a
 /// report.
 const NON_PARTICIPATING_AFTER_POLLS: u32 = 3;
+/// Time after which a member that is away is forgotten. Many of the members that are away for so long have been
+/// replaced under other names.
+const AWAY_MAX_NS: Nanos = 60 * 60 * SECOND_NS;
 /// Maximum number of members that are polled for a report in one round.
 const POLLS_AT_ONCE_MAX: usize = 32;
 /// Maximum number of revisions whose commit times are kept. When there are more, the oldest are dropped.
@@ -29,6 +35,8 @@
     polled_at: Nanos,
     /// Number of polls sent to the member since its last report.
     unanswered: u32,
+    /// Time since which the member is not alive, as far as observed; `None` if it is alive.
+    away_since: Option<Nanos>,
 }
 
 impl MemberProgress {
@@ -89,9 +97,17 @@
         }
     }
 
-    /// Forgets all members for which `is_alive` returns false.
-    pub fn retain(&mut self, is_alive: impl Fn(&str) -> bool) {
-        self.members.retain(|name, _| is_alive(name));
+    /// Records which members are alive at the time `now`. Forgets members that are not alive and have never
+    /// reported, and members that have been away for [`AWAY_MAX_NS`].
+    pub fn observe_alive(&mut self, now: Nanos, is_alive: impl Fn(&str) -> bool) {
+        self.members.retain(|name, member| {
+            if is_alive(name) {
+                member.away_since = None;
+                return true;
+            }
+            let away_since = *member.away_since.get_or_insert(now);
+            member.report.is_some() && now.saturating_sub(away_since) < AWAY_MAX_NS
+        });
     }
 
     fn participates(&self, name: &str) -> bool {
@@ -109,6 +125,12 @@
         alive.filter(|name| self.participates(name)).filter_map(|name| self.lag_of(name, number)).collect()
     }
 
+    /// Returns the members that are away and had not applied revision `number` when they reported last.
+    pub fn away(&self, is_alive: impl Fn(&str) -> bool, number: u64) -> Vec<LaggingMember> {
+        let away = self.members.iter().filter(|(name, member)| member.report.is_some() && !is_alive(name));
+        away.filter_map(|(name, _)| self.lag_of(name, number)).collect()
+    }
+
     /// Returns how far a member lags behind revision `number`; `None` if the member has applied this
     /// revision.
     fn lag_of(&self, name: &str, number: u64) -> Option<LaggingMember> {
--- a/crates/replication/tests/operator.rs
+++ b/crates/replication/tests/operator.rs
@@ -3,7 +3,9 @@
 
 use meadowstream_replication::change::Change;
 use meadowstream_replication::member::{Member, Settings};
-use meadowstream_replication::message::{Location, Message, Rejection, Report, RequestId, RequestOutcome};
+use meadowstream_replication::message::{
+    LaggingSummary, Location, Message, Rejection, Report, RequestId, RequestOutcome,
+};
 use std::sync::Arc;
 use test_case::test_case;
 
@@ -96,6 +98,29 @@
     assert_eq!(member.log().state().get("k"), Some("1"));
 }
 
+/// Guards against a status that says that all members go by a revision and does not name a member that is away
+/// and lacks it.
+#[test]
+fn the_status_names_a_member_that_is_away_and_lacks_the_newest_revision() {
+    let mut member = leader();
+    submit(&mut member, 1, "k", "1");
+    let report = Report { applied: 2, committed: 2, rejected: None };
+    member.receive(NOW, "s1", &Message::Report { report, location: Location::default() }.encode());
+    let alive = Arc::new(["c0", OPERATOR].map(str::to_string).to_vec());
+    // It is forgotten an hour after it was first seen to be away.
+    for (number, seconds, away) in [(2, 1, true), (3, 3600, true), (4, 3601, false)] {
+        member.advance(NOW + seconds * 1_000_000_000, &alive);
+        submit(&mut member, number, "k", &number.to_string());
+        let answer = send_request(&mut member, &Message::PollStatus { request: request(number + 100) });
+        let Some(Message::Status { members: 0, applied: 0, lagging, .. }) = answer.first() else {
+            panic!("{answer:?}")
+        };
+        let names: Vec<_> = lagging.iter().map(|member| (member.name.as_str(), member.applied)).collect();
+        assert_eq!(names, if away { vec![("s1", 2)] } else { vec![] });
+        assert!(lagging.iter().all(LaggingSummary::is_away));
+    }
+}
+
 #[test_case(99, "no change that is still held ends at 99"; "not held")]
 #[test_case(2, "\"k\" was changed again by 3"; "changed since")]
 fn a_revert_that_is_not_possible_is_answered_with_the_reason(number: u64, reason: &str) {
--- a/crates/server/src/fleet/publish.rs
+++ b/crates/server/src/fleet/publish.rs
@@ -81,6 +81,20 @@
     async_io::block_on(submit(fleet_member, messages, request, replicas, arguments.wait))
 }
 
+/// Appends the revisions of the members to the status, preceded by `label`; nothing if there are no members.
+fn append_members(status: &mut String, label: &str, members: &[LaggingSummary]) {
+    let describe = |member: &LaggingSummary| {
+        let LaggingSummary { name, applied, reason } = member;
+        let has_refused = !reason.is_empty() && !member.is_away();
+        let refusal = if has_refused { format!(" and refused: {reason}") } else { String::new() };
+        format!("{name} goes by {applied}{refusal}")
+    };
+    if !members.is_empty() {
+        let descriptions: Vec<String> = members.iter().map(describe).collect();
+        status.push_str(&format!("; {label}{}", descriptions.join(", ")));
+    }
+}
+
 struct PublishSession {
     fleet_member: NonServingMember,
     replicas: Vec<String>,
@@ -165,7 +179,7 @@
 
     /// Prints how many members use the newest revision, and names the members that do not use this revision.
     /// If `waits` is true, first waits until all members use the newest revision and the number of this
-    /// revision is at least `wanted`.
+    /// revision is at least `wanted`. Members that are away are named, but not waited for.
     async fn wait_until_in_force(&mut self, request: RequestId, wanted: u64, waits: bool) -> Result<()> {
         let mut status = String::new();
         let mut request_number = request.number;
@@ -177,16 +191,10 @@
             let Some(Message::Status { number, members, applied: in_force, lagging, .. }) = answer else {
                 bail!("not all members have the revision in force yet: {status}");
             };
+            let (away, lagging): (Vec<_>, Vec<_>) = lagging.into_iter().partition(LaggingSummary::is_away);
             status = format!("revision {number}: {in_force} of {members} members go by it");
-            let describe = |LaggingSummary { name, applied, reason }: &LaggingSummary| match reason.is_empty()
-            {
-                true => format!("{name} goes by {applied}"),
-                false => format!("{name} goes by {applied} and refused: {reason}"),
-            };
-            let descriptions: Vec<String> = lagging.iter().map(describe).collect();
-            if !descriptions.is_empty() {
-                status.push_str(&format!("; {}", descriptions.join(", ")));
-            }
+            append_members(&mut status, "", &lagging);
+            append_members(&mut status, "not counted, since away: ", &away);
             let all = in_force == members && number >= wanted;
             let refused = lagging.iter().any(|member| !member.reason.is_empty());
             if all || !waits {
