A leaving server closes its listener although accept goes on failing

What callers saw: with seven accepts in ten failing (the five errors that pass by themselves) for as long as callers come, 24 of 24 callers were not refused within 6 s of a SIGTERM whose stop is 2 s away; the kill then cut them off.

Cause: the listener is closed only after a look that found the queue empty, since closing it resets what waits there. ENFILE, ENOBUFS and ENOMEM ended the look at once, for 10 ms in which the next callers queued, so no look came to the end of the queue.

Change: in this look a failed attempt is followed by the next, up to 32 failures one after the other; only EMFILE ends it at once, since a descriptor has to be freed first.

--- a/crates/server/src/connection/accept.rs
+++ b/crates/server/src/connection/accept.rs
@@ -28,7 +28,8 @@
     Waiting,
 }
 
-/// Maximum number of successive errors of single connections after which accepting waits.
+/// Maximum number of successive failed attempts to accept a connection, before the listener is closed, after
+/// which the next attempt waits. An attempt may fail while the one after it succeeds, also for a lack of memory.
 const ERRORS_MAX: usize = 32;
 
 /// What is done after a failed attempt to accept a connection.
@@ -124,7 +125,7 @@
             Err(error) => {
                 server.counters.accepts_failed.add();
                 errors += 1;
-                if AfterError::of(&error) != AfterError::AcceptNext || errors == ERRORS_MAX {
+                if AfterError::of(&error) == AfterError::FreeDescriptor || errors == ERRORS_MAX {
                     return Backlog::Waiting;
                 }
             }
