Answers to calls that came with cancelled ones in one read are not dropped

Cause: the queue from the event loop to a connection's task had 36 places. A cancelled call gives its place among the 32 to the next one at once, so one read can bring more calls; where all are answered in the same moment, the answers from the 37th on found no place and were dropped.

Change: the queue has no limit of its own. The task empties it before it reads again, so what it holds is limited by what was received since.

--- a/crates/cli/tests/misbehaving_clients.rs
+++ b/crates/cli/tests/misbehaving_clients.rs
@@ -29,6 +29,15 @@
 const RATE: f64 = 40.0;
 
 fn start(seed: u64, effect: &str) -> (FleetHarness, SocketAddr) {
+    start_with(seed, effect, Vec::new())
+}
+
+/// As [`start`], with more settings.
+fn start_with(
+    seed: u64,
+    effect: &str,
+    more_settings: Vec<(&'static str, serde_json::Value)>,
+) -> (FleetHarness, SocketAddr) {
     let operation = json!([{"name": "load", "effect": effect, "target": 800_000,
         "give-up": GIVE_UP.as_micros() as u64, "worth": 1.0, "window": 2_000_000}]);
     let key = if effect == "by_key" { r#"<tokens field="token"/>"# } else { "" };
@@ -36,7 +45,7 @@
         cores: CORES,
         descriptors: DESCRIPTORS,
         options: key.to_string(),
-        settings: vec![("grades", operation)],
+        settings: [vec![("grades", operation)], more_settings].concat(),
         ..HarnessOptions::default()
     };
     let program = Path::new(env!("CARGO_BIN_EXE_meadowstream"));
@@ -57,7 +66,17 @@
 }
 
 fn call(tag: u64, operation: &str, reference: u64, more_fields: &str, body: &[u8]) -> Vec<u8> {
-    let since = unix_ms();
+    call_since(unix_ms(), tag, operation, reference, more_fields, body)
+}
+
+fn call_since(
+    since: u128,
+    tag: u64,
+    operation: &str,
+    reference: u64,
+    more_fields: &str,
+    body: &[u8],
+) -> Vec<u8> {
     let fields = format!("ref={reference:016x},since={since},sender=2,room=4{more_fields}");
     array(&[b"RPC.CALL", tag.to_string().as_bytes(), operation.as_bytes(), fields.as_bytes(), body])
 }
@@ -266,3 +285,42 @@
     let at_first = CORES as u64;
     assert!(begun <= bursts * (at_first + 8), "{begun} runs in {bursts} bursts");
 }
+
+/// Reads from the connection until nothing more comes, and returns the tags of the replies.
+fn read_reply_tags(stream: &mut TcpStream) -> Vec<u64> {
+    stream.set_read_timeout(Some(GIVE_UP)).unwrap();
+    let (mut bytes, mut chunk) = (Vec::new(), [0; 4_096]);
+    while let Ok(count @ 1..) = stream.read(&mut chunk) {
+        bytes.extend_from_slice(&chunk[..count]);
+    }
+    let text = String::from_utf8(bytes).unwrap();
+    let lines: Vec<&str> = text.split("\r\n").collect();
+    // A reply is an array; the line of its first word is the second after the array's own line.
+    let begins = (0..lines.len()).filter(|line| lines[*line].starts_with('*'));
+    begins.map(|line| lines[line + 2].parse().expect("a tag")).collect()
+}
+
+/// Guards against calls that are never answered: one read brings more calls than may be open at once, since some
+/// are cancelled in between, and all of them are answered in the same moment.
+#[test]
+fn calls_that_come_with_cancelled_ones_in_one_read_are_all_answered() {
+    const PAIRS: u64 = 24;
+    let (_fleet, to) = start_with(41, "repeatable", vec![("family-info/tells-gone", json!(true))]);
+    // Calls whose objective has passed are rejected at once; their callers wait for 0.1 s more.
+    let since = unix_ms() - 900;
+    let mut bytes = Vec::new();
+    for pair in 0..PAIRS {
+        let (cancelled, kept) = (2 * pair, 2 * pair + 1);
+        bytes.extend_from_slice(&call_since(since, cancelled, "load", (41 << 40) + cancelled, "", b"x"));
+        bytes.extend_from_slice(&array(&[b"RPC.CANCEL", cancelled.to_string().as_bytes()]));
+        bytes.extend_from_slice(&call_since(since, kept, "load", (41 << 40) + kept, "", b"x"));
+    }
+    assert!(bytes.len() < 8 * 1024, "{} bytes come in one read", bytes.len());
+    let mut stream = connect(to);
+    stream.write_all(&bytes).unwrap();
+    let mut answered = read_reply_tags(&mut stream);
+    answered.retain(|tag| tag % 2 == 1);
+    answered.sort_unstable();
+    let kept: Vec<u64> = (0..PAIRS).map(|pair| 2 * pair + 1).collect();
+    assert_eq!(answered, kept);
+}
--- a/crates/server/src/connection/table.rs
+++ b/crates/server/src/connection/table.rs
@@ -11,8 +11,6 @@
 /// Maximum number of open calls on one connection. A call is open until it is answered or cancelled. While
 /// the maximum is reached, further calls stay unread.
 pub const OPEN_CALLS_MAX: usize = 32;
-/// Maximum number of notifications of a connection that are not answers.
-const OTHER_NOTIFICATIONS: usize = 4;
 /// Idle time, in nanoseconds, for connections that have never received a command. After this time the server
 /// may close the connection if a new connection needs its file descriptor.
 const UNUSED_TIMEOUT_NS: Nanos = 50_000_000;
@@ -71,9 +69,12 @@
         }
     }
 
-    /// Queues a notification for the connection's task. Returns false if queueing failed, for example
-    /// because the connection has ended. The queue has space for one answer to each open call, and for one
-    /// of each other notification.
+    /// Queues a notification for the connection's task. Returns false if the connection has ended.
+    ///
+    /// The queue has no limit of its own, since an answer that does not fit would be lost. It holds at most one
+    /// answer to each call that was open when the task emptied the queue last, and to each call received since.
+    /// The task receives no bytes in between, so the received bytes limit these calls. They can be more than
+    /// [`OPEN_CALLS_MAX`], because a cancelled call gives its place to the next one at once.
     pub fn notify(&self, notification: Notification) -> bool {
         self.notifications.try_send(notification).is_ok()
     }
@@ -125,7 +126,7 @@
     /// Adds a new connection to the table. Returns the connection and the queue of notifications for its
     /// task.
     pub fn open(&self, now: Nanos) -> (Rc<Connection>, Receiver<Notification>) {
-        let (sender, notifications) = async_channel::bounded(OPEN_CALLS_MAX + OTHER_NOTIFICATIONS);
+        let (sender, notifications) = async_channel::unbounded();
         self.last_id.set(self.last_id.get() + 1);
         let connection = Rc::new(Connection::new(self.last_id.get(), sender, now));
         self.open.borrow_mut().insert(connection.id, connection.clone());
