Servers that tests start do not inherit a connection of another scenario

connect_with_small_buffer of the scenario harness opened its socket without close-on-exec, so that a server started by another scenario meanwhile had one descriptor more in use (KNOWN-RED.txt, calls_wait_for_descriptors: with one more it fails each time). Opened with the flag now.

--- a/crates/cli/tests/scenario_harness/sockets.rs
+++ b/crates/cli/tests/scenario_harness/sockets.rs
@@ -1,7 +1,7 @@
 //! Helper functions for the sockets of the test doubles.
 
 use super::WAIT_MAX;
-use rustix::net::{self, AddressFamily, SocketType, sockopt};
+use rustix::net::{self, AddressFamily, SocketFlags, SocketType, sockopt};
 use std::io::{BufReader, ErrorKind};
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -49,9 +49,11 @@
     rows.filter(|row| row[2] == remote && row[3] == "02").map(|row| row[1].to_string()).collect()
 }
 
-/// Opens a connection with a small receive buffer. The buffer fills quickly if the test does not read.
+/// Opens a connection with a small receive buffer. The buffer fills quickly if the test does not read. Servers
+/// that other scenarios start meanwhile do not inherit the connection.
 pub fn connect_with_small_buffer(to: &str) -> TcpStream {
-    let socket = net::socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+    let (family, kind, flags) = (AddressFamily::INET, SocketType::STREAM, SocketFlags::CLOEXEC);
+    let socket = net::socket_with(family, kind, flags, None).unwrap();
     sockopt::set_socket_recv_buffer_size(&socket, 2048).unwrap();
     net::connect(&socket, &to.parse::<std::net::SocketAddr>().unwrap()).unwrap();
     TcpStream::from(socket)
