--- a/crates/cli/tests/fleet_rollout/harness.rs
+++ b/crates/cli/tests/fleet_rollout/harness.rs
@@ -77,6 +77,16 @@
     std::fs::write(fleet.folder().join("next.xml"), text).unwrap();
 }
 
+/// Writes the program that a plan rolls out. It is the old one with bytes added at the end, which change only
+/// its hash.
+pub fn write_next_program(fleet: &FleetHarness) {
+    let next = fleet.folder().join("next");
+    let mut bytes = std::fs::read(env!("CARGO_BIN_EXE_meadowstream")).unwrap();
+    bytes.extend(b"next");
+    std::fs::write(&next, bytes).unwrap();
+    std::fs::set_permissions(&next, std::os::unix::fs::PermissionsExt::from_mode(0o755)).unwrap();
+}
+
 /// Writes a rollout plan of three stages. Its thresholds are so high that delays by other work on the machine
 /// stay below them. The bad changes in these tests exceed the thresholds by far.
 pub fn write_plan(fleet: &FleetHarness, name: &str) -> PathBuf {
@@ -208,3 +218,8 @@
     let runs = fleet.view_field(i, "runs").unwrap_or_default();
     runs[name][1].as_str().unwrap_or("").to_string()
 }
+
+/// Path of the file in which server `i` marks the program that its supervisor is to start.
+pub fn program_mark(fleet: &FleetHarness, i: usize) -> PathBuf {
+    fleet.folder().join(format!("s{i}.xml.program"))
+}
--- a/crates/cli/tests/fleet_rollout/main.rs
+++ b/crates/cli/tests/fleet_rollout/main.rs
@@ -7,7 +7,7 @@
 
 use harness::{
     ALL, Coordinator, adoption_mark, changed_servers, ever_changed_servers, expect_all_answered,
-    lock_exclusive, settings_hash, start_fleet, start_loads, write_candidate, write_plan,
+    lock_exclusive, settings_hash, start_fleet, start_loads, write_candidate, write_next_program, write_plan,
 };
 use meadowstream_test_doubles::fleet::wait_for;
 use meadowstream_test_doubles::open_loop::ReplyCounts;
@@ -180,12 +180,7 @@
     let _exclusive = lock_exclusive();
     for (broken, seed) in [(false, 45), (true, 46)] {
         let mut fleet = start_fleet(seed);
-        let next = fleet.folder().join("next");
-        let mut bytes = std::fs::read(env!("CARGO_BIN_EXE_meadowstream")).unwrap();
-        // The new program is the old one with bytes added at the end, which change only its hash.
-        bytes.extend(b"next");
-        std::fs::write(&next, bytes).unwrap();
-        std::fs::set_permissions(&next, std::os::unix::fs::PermissionsExt::from_mode(0o755)).unwrap();
+        write_next_program(&fleet);
         let path = write_plan(&fleet, "program");
         let text = std::fs::read_to_string(&path)
             .unwrap()
--- a/crates/cli/tests/fleet_rollout/soak.rs
+++ b/crates/cli/tests/fleet_rollout/soak.rs
@@ -7,9 +7,10 @@
 //! fleet_rollout plays_by_hand -- --ignored --nocapture`.
 
 use crate::harness::{
-    Coordinator, adoption_mark, lock_exclusive, start_loads_on, start_servers, write_candidate,
+    Coordinator, adoption_mark, lock_exclusive, program_mark, start_loads_on, start_servers, write_candidate,
+    write_next_program,
 };
-use meadowstream_test_doubles::fleet::FleetHarness;
+use meadowstream_test_doubles::fleet::{FleetHarness, wait_for};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use std::path::{Path, PathBuf};
@@ -25,6 +26,8 @@
 const PLAY_MAX: Duration = Duration::from_secs(130);
 /// Time in which a death is noticed, an order goes out and a mark is written.
 const REACTION_MAX: Duration = Duration::from_secs(3);
+/// Time in which a server that was told to leave has ended.
+const LEAVE_MAX: Duration = Duration::from_secs(3);
 /// Number of plays at the same time.
 const CONCURRENT_PLAYS: usize = 3;
 
@@ -41,6 +44,8 @@
     returns_after: Option<Duration>,
     aborts_after: Option<Duration>,
     coordinator_away: Option<Outage>,
+    /// Whether the plan changes the program, by restarts, or the settings.
+    changes_program: bool,
 }
 
 /// Times at which the coordinator is killed and started again.
@@ -68,15 +73,17 @@
                 let killed_after = seconds(1 + below(10));
                 Outage { killed_after, restarted_after: killed_after + seconds(1 + below(16)) }
             }),
+            changes_program: below(4) == 0,
         }
     }
 
     /// Writes the plan of three stages. The last one changes all servers.
     fn write_plan(&self, fleet: &FleetHarness) {
         let on_worse = if self.stops_when_worse { "stop" } else { "roll-back" };
-        let patience = self.patience.as_millis();
+        let (seed, patience) = (self.seed, self.patience.as_millis());
+        let change = if self.changes_program { "program=\"next\"" } else { "candidate=\"next.xml\"" };
         let text = format!(
-            r#"<plan xmlns="urn:meadowstream:options:1" name="soak" candidate="next.xml" interval-ms="250"
+            r#"<plan xmlns="urn:meadowstream:options:1" name="soak-{seed}" {change} interval-ms="250"
             settled-ms="1000" patience-ms="{patience}" throttled="0.5" latency="10" errored="0.5" late="0.5"
             on-worse="{on_worse}">
             <stage servers="1" bake-ms="4000"/>
@@ -91,26 +98,43 @@
         Coordinator::start_with(fleet, &plan_path(fleet), SERVERS, 30, SUSPICION_PERIODS)
     }
 
+    /// Returns the servers whose disks have the mark of the change.
+    fn marked(&self, fleet: &FleetHarness) -> Vec<usize> {
+        let mark = if self.changes_program { program_mark } else { adoption_mark };
+        (0..SERVERS).filter(|i| mark(fleet, *i).exists()).collect()
+    }
+
     /// Runs the play, and returns what was wrong.
     fn run(&self) -> Vec<String> {
-        let fleet = start_servers(self.seed, SERVERS, SUSPICION_PERIODS);
+        let mut fleet = start_servers(self.seed, SERVERS, SUSPICION_PERIODS);
         write_candidate(&fleet, "<control reference=\"0.88\"/>");
+        write_next_program(&fleet);
         self.write_plan(&fleet);
         // The loads end by themselves. Calls to the dead server fail, so their results are not looked at.
         drop(start_loads_on(&fleet, &[0, 1, 2, 3], PLAY_MAX));
         std::thread::sleep(Duration::from_secs(1));
         let coordinator = self.start_coordinator(&fleet);
         let all_go_by_it = format!("stage {}: all go by it", self.stage);
-        coordinator.wait_for_output(&all_go_by_it, Duration::from_secs(60));
-        let victim = *marked(&fleet).last().unwrap();
+        let bakes = || {
+            fleet.supervise().unwrap();
+            coordinator.has_printed(&all_go_by_it).then_some(())
+        };
+        wait_for(Duration::from_secs(60), bakes).expect("a stage that bakes");
+        let victim = *self.marked(&fleet).last().unwrap();
         fleet.signal_and_keep(victim, self.signal).unwrap();
+        let died = Instant::now();
+        if self.signal == "TERM" {
+            std::thread::sleep(LEAVE_MAX);
+        }
+        // The harness does not start a server again that was killed so.
+        fleet.signal(victim, "KILL").unwrap();
         let mut run =
             Run { play: self, fleet, victim, coordinator: Some(coordinator), done: Done::default() };
-        let died = Instant::now();
         while !run.has_ended() {
             if died.elapsed() > PLAY_MAX {
                 return vec!["not ended".into()];
             }
+            run.fleet.supervise().unwrap();
             run.carry_out_due(died.elapsed());
             std::thread::sleep(Duration::from_millis(50));
         }
@@ -145,7 +169,6 @@
         let is_due = |at: Option<Duration>| at.is_some_and(|at| away >= at);
         if is_due(self.play.returns_after) && !self.done.returned {
             self.done.returned = true;
-            self.fleet.signal(self.victim, "KILL").ok();
             self.fleet.start(self.victim).unwrap();
         }
         if is_due(self.play.aborts_after) && !self.done.aborted {
@@ -157,7 +180,7 @@
         }
         let has_stopped_spreading = away >= self.play.patience + REACTION_MAX;
         if has_stopped_spreading && !self.done.returned && self.done.marked_after_patience.is_none() {
-            self.done.marked_after_patience = Some(marked(&self.fleet));
+            self.done.marked_after_patience = Some(self.play.marked(&self.fleet));
         }
     }
 
@@ -181,8 +204,8 @@
     /// Returns what is wrong at the end.
     fn check(&self) -> Vec<String> {
         let end = last_line(self.coordinator.as_ref().unwrap());
-        let mut wrong = check_end(&self.fleet, &end);
-        let (play, victim, marked) = (self.play, self.victim, marked(&self.fleet));
+        let (play, victim, marked) = (self.play, self.victim, self.play.marked(&self.fleet));
+        let mut wrong = check_end(&self.fleet, &end, &marked);
         let before = self.done.marked_after_patience.as_ref().filter(|_| !self.done.returned);
         if let Some(before) = before.filter(|before| marked.iter().any(|server| !before.contains(server))) {
             wrong.push(format!("s{victim} is gone, and the change went from {before:?} to {marked:?}"));
@@ -196,11 +219,6 @@
     fleet.folder().join("soak.plan.xml")
 }
 
-/// Returns the servers whose disks have the mark of the change.
-fn marked(fleet: &FleetHarness) -> Vec<usize> {
-    (0..SERVERS).filter(|i| adoption_mark(fleet, *i).exists()).collect()
-}
-
 /// Runs `rollout WORD PLAN` and returns its output.
 fn rollout(plan: &Path, word: &str) -> String {
     let mut command = Command::new(env!("CARGO_BIN_EXE_meadowstream"));
@@ -216,8 +234,8 @@
 }
 
 /// Compares the end of the rollout and its status with the marks on the servers' disks.
-fn check_end(fleet: &FleetHarness, end: &str) -> Vec<String> {
-    let (status, marked) = (rollout(&plan_path(fleet), "status"), marked(fleet));
+fn check_end(fleet: &FleetHarness, end: &str, marked: &[usize]) -> Vec<String> {
+    let status = rollout(&plan_path(fleet), "status");
     let mut wrong = Vec::new();
     let is_done = end.contains("done: ");
     for i in 0..SERVERS {
--- a/crates/cli/tests/fleet_rollout/unfinished_changes.rs
+++ b/crates/cli/tests/fleet_rollout/unfinished_changes.rs
@@ -2,20 +2,15 @@
 //! server goes by its own settings or program while it does not, or will not after a restart.
 
 use crate::harness::{
-    ALL, Coordinator, adoption_mark, expect_all_answered, lock_exclusive, start_fleet, start_loads,
-    write_candidate, write_plan,
+    ALL, Coordinator, adoption_mark, expect_all_answered, lock_exclusive, program_mark, start_fleet,
+    start_loads, write_candidate, write_plan,
 };
-use meadowstream_test_doubles::fleet::{FleetHarness, wait_for};
+use meadowstream_test_doubles::fleet::wait_for;
 use rustix::fs::{CWD, FileType, Mode, mknodat};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::Command;
 use std::time::Duration;
 
-/// Path of the file in which server `i` marks the program that its supervisor is to start.
-fn program_mark(fleet: &FleetHarness, i: usize) -> PathBuf {
-    fleet.folder().join(format!("s{i}.xml.program"))
-}
-
 fn abort(plan: &Path) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_meadowstream"));
     assert!(command.args(["rollout", "abort"]).arg(plan).status().unwrap().success());
