--- a/crates/cli/tests/fleet_rollout/harness.rs
+++ b/crates/cli/tests/fleet_rollout/harness.rs
@@ -130,7 +130,8 @@
         let text = format!(
             r#"<meadowstream xmlns="urn:meadowstream:options:1">
             <membership bind="{free}" advertise="{}" fleet="rehearsal" key-file="key" probe-period-ms="200"
-              probe-rtt-ms="80" suspicion-multiplier="{suspicion_periods}" gossip-period-ms="100" announce-period-ms="1000">
+              probe-rtt-ms="80" suspicion-multiplier="{suspicion_periods}" gossip-period-ms="100"
+              announce-period-ms="1000">
             <seed address="{}"/><seed address="{}"/></membership>
             <rollout candidate="next.xml" servers="10" lease-ms="1500">{VOTERS}</rollout></meadowstream>"#,
             fleet.relay.endpoint(endpoint),
--- a/crates/cli/tests/fleet_rollout/soak.rs
+++ b/crates/cli/tests/fleet_rollout/soak.rs
@@ -1,7 +1,7 @@
 //! Seeded soak of rollouts over processes. In each play a changed server dies or leaves, for some time or for
 //! good, for longer than the membership view remembers it. The seed decides when, for how long, what the plan
-//! does when it is worse, whether the operator aborts, and whether the coordinator is killed and started again.
-//! What the end and `rollout status` say is compared with the marks on the servers' disks.
+//! does when it is worse, whether the operator aborts, and whether the coordinator is killed and started
+//! again. What the end and `rollout status` say is compared with the marks on the servers' disks.
 //!
 //! To run other seeds, three at a time: `SOAK_SEEDS=FIRST..LAST cargo test -p meadowstream --test
 //! fleet_rollout plays_by_hand -- --ignored --nocapture`.
@@ -149,7 +149,8 @@
     returned: bool,
     aborted: bool,
     coordinator_restarted: bool,
-    /// The marked servers at the time when the change should have stopped to spread, while the victim is away.
+    /// The marked servers at the time when the change should have stopped to spread, while the victim is
+    /// away.
     marked_after_patience: Option<Vec<usize>>,
 }
 
--- a/crates/cli/tests/fleet_rollout/unfinished_changes.rs
+++ b/crates/cli/tests/fleet_rollout/unfinished_changes.rs
@@ -1,5 +1,5 @@
-//! Tests of rollouts in which a server cannot finish a change that it has begun. Nobody may be told that such a
-//! server goes by its own settings or program while it does not, or will not after a restart.
+//! Tests of rollouts in which a server cannot finish a change that it has begun. Nobody may be told that such
+//! a server goes by its own settings or program while it does not, or will not after a restart.
 
 use crate::harness::{
     ALL, Coordinator, adoption_mark, expect_all_answered, lock_exclusive, program_mark, start_fleet,
--- a/crates/cli/tests/misbehaving_clients.rs
+++ b/crates/cli/tests/misbehaving_clients.rs
@@ -300,8 +300,8 @@
     begins.map(|line| lines[line + 2].parse().expect("a tag")).collect()
 }
 
-/// Guards against calls that are never answered: one read brings more calls than may be open at once, since some
-/// are cancelled in between, and all of them are answered in the same moment.
+/// Guards against calls that are never answered: one read brings more calls than may be open at once, since
+/// some are cancelled in between, and all of them are answered in the same moment.
 #[test]
 fn calls_that_come_with_cancelled_ones_in_one_read_are_all_answered() {
     const PAIRS: u64 = 24;
--- a/crates/cli/tests/scenario_harness/sockets.rs
+++ b/crates/cli/tests/scenario_harness/sockets.rs
@@ -49,8 +49,8 @@
     rows.filter(|row| row[2] == remote && row[3] == "02").map(|row| row[1].to_string()).collect()
 }
 
-/// Opens a connection with a small receive buffer. The buffer fills quickly if the test does not read. Servers
-/// that other scenarios start meanwhile do not inherit the connection.
+/// Opens a connection with a small receive buffer. The buffer fills quickly if the test does not read.
+/// Servers that other scenarios start meanwhile do not inherit the connection.
 pub fn connect_with_small_buffer(to: &str) -> TcpStream {
     let (family, kind, flags) = (AddressFamily::INET, SocketType::STREAM, SocketFlags::CLOEXEC);
     let socket = net::socket_with(family, kind, flags, None).unwrap();
--- a/crates/replication/src/progress.rs
+++ b/crates/replication/src/progress.rs
@@ -19,8 +19,8 @@
 /// Number of unanswered polls after which a member is treated as non-participating, if it has never sent a
 /// report.
 const NON_PARTICIPATING_AFTER_POLLS: u32 = 3;
-/// Time after which a member that is away is forgotten. Many of the members that are away for so long have been
-/// replaced under other names.
+/// Time after which a member that is away is forgotten. Many of the members that are away for so long have
+/// been replaced under other names.
 const AWAY_MAX_NS: Nanos = 60 * 60 * SECOND_NS;
 /// Maximum number of members that are polled for a report in one round.
 const POLLS_AT_ONCE_MAX: usize = 32;
--- a/crates/replication/tests/operator.rs
+++ b/crates/replication/tests/operator.rs
@@ -98,8 +98,8 @@
     assert_eq!(member.log().state().get("k"), Some("1"));
 }
 
-/// Guards against a status that says that all members go by a revision and does not name a member that is away
-/// and lacks it.
+/// Guards against a status that says that all members go by a revision and does not name a member that is
+/// away and lacks it.
 #[test]
 fn the_status_names_a_member_that_is_away_and_lacks_the_newest_revision() {
     let mut member = leader();
--- a/crates/rollout/src/coordinator/compliance.rs
+++ b/crates/rollout/src/coordinator/compliance.rs
@@ -103,8 +103,8 @@
     pub(super) fn find_failure(&self) -> Option<String> {
         let timeout = self.plan.response_timeout;
         if self.absent_for.values().any(|absent_for| *absent_for >= timeout) {
-            // Absence is counted only while no unchanged server is missing, so the change is the likely cause.
-            // A network partition would probably affect unchanged servers, too.
+            // Absence is counted only while no unchanged server is missing, so the change is the likely
+            // cause. A network partition would probably affect unchanged servers, too.
             return Some(format!("{} gone since the change", self.absent_servers()));
         }
         let (server, _) = self.overdue.iter().find(|(_, overdue)| **overdue >= timeout)?;
--- a/crates/rollout/src/coordinator/mod.rs
+++ b/crates/rollout/src/coordinator/mod.rs
@@ -96,18 +96,18 @@
     plan: Plan,
     /// Start time of this coordinator, in nanoseconds since the Unix epoch.
     incarnation: u64,
-    /// Sequence number of the orders that this coordinator sent last. All orders of one interval have the same
-    /// number. The numbers begin after the incarnation, so that no report on an order of an earlier coordinator
-    /// is taken for a report on an order of this one.
+    /// Sequence number of the orders that this coordinator sent last. All orders of one interval have the
+    /// same number. The numbers begin after the incarnation, so that no report on an order of an earlier
+    /// coordinator is taken for a report on an order of this one.
     order_sequence: u64,
     state: PersistedState,
     /// Time at which the current phase of the plan began, in nanoseconds on the caller's clock.
     phase_began: Nanos,
-    /// Time in nanoseconds for which this coordinator has ordered the servers to roll back. Only time with the
-    /// rollout lease is counted.
+    /// Time in nanoseconds for which this coordinator has ordered the servers to roll back. Only time with
+    /// the rollout lease is counted.
     rolled_back_for: Nanos,
-    /// Sequence number of the last order before the rollback; the incarnation if this coordinator has only sent
-    /// orders to roll back. Reports on this order and on earlier ones confirm nothing.
+    /// Sequence number of the last order before the rollback; the incarnation if this coordinator has only
+    /// sent orders to roll back. Reports on this order and on earlier ones confirm nothing.
     last_order_before_rollback: u64,
     /// Time in nanoseconds for which the current stage has baked so far. Time counts only after the warm-up,
     /// while this coordinator holds the rollout lease and the view is settled.
--- a/crates/rollout/src/coordinator/rollback.rs
+++ b/crates/rollout/src/coordinator/rollback.rs
@@ -44,8 +44,8 @@
         }
     }
 
-    /// Saves which of the changed servers have confirmed the rollback, so that a restarted coordinator does not
-    /// wait for them again.
+    /// Saves which of the changed servers have confirmed the rollback, so that a restarted coordinator does
+    /// not wait for them again.
     fn record_confirmations(&mut self, actions: &mut Vec<Action>) {
         let mut pending = self.state.pending_rollback.take().unwrap_or_default();
         let count = pending.len();
@@ -58,8 +58,8 @@
     }
 
     /// Returns whether a server has confirmed the rollback. Its latest report must answer an order of the
-    /// rollback, and must state that the server does not run the change. A report on an earlier order may have
-    /// been written before the server adopted the change.
+    /// rollback, and must state that the server does not run the change. A report on an earlier order may
+    /// have been written before the server adopted the change.
     fn has_confirmed_rollback(&self, server: &str) -> bool {
         let received = self.reports.get(server);
         received.is_some_and(|latest| {
--- a/crates/rollout/src/coordinator/state.rs
+++ b/crates/rollout/src/coordinator/state.rs
@@ -69,8 +69,8 @@
     /// this field.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub pending_rollback: Option<BTreeSet<String>>,
-    /// Names of the servers that are known to the plan and were left out of its last stage although this stage
-    /// was to change the whole fleet. Empty until the plan is done.
+    /// Names of the servers that are known to the plan and were left out of its last stage although this
+    /// stage was to change the whole fleet. Empty until the plan is done.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub left_out: BTreeSet<String>,
     /// Baselines of the servers, measured before any server is changed.
@@ -99,8 +99,8 @@
         self.phase = Phase::RollingBack { reason };
     }
 
-    /// Completes a state that release 0.2 saved during a rollback. Such a state does not name the servers that
-    /// have to go back, so every server that the plan has measured counts as one of them.
+    /// Completes a state that release 0.2 saved during a rollback. Such a state does not name the servers
+    /// that have to go back, so every server that the plan has measured counts as one of them.
     pub(super) fn complete_rollback(&mut self) {
         if let (Phase::RollingBack { reason }, None) = (&self.phase, &self.pending_rollback) {
             let reason = reason.clone();
--- a/crates/rollout/src/coordinator/summary.rs
+++ b/crates/rollout/src/coordinator/summary.rs
@@ -21,8 +21,8 @@
         }
     }
 
-    /// Describes in one line which servers run the change or may run it, as far as the plan knows. An order to
-    /// run the change is not taken for its execution, nor an order to roll back for a confirmation.
+    /// Describes in one line which servers run the change or may run it, as far as the plan knows. An order
+    /// to run the change is not taken for its execution, nor an order to roll back for a confirmation.
     pub fn describe_servers(&self) -> String {
         match (&self.phase, &self.pending_rollback) {
             (Phase::Waiting, _) => count_names("were ordered to run the change", &self.changed),
--- a/crates/rollout/tests/fixed_bytes.rs
+++ b/crates/rollout/tests/fixed_bytes.rs
@@ -175,7 +175,8 @@
 }
 
 /// A state file that this release writes during a rollback orders no server to run the change in release 0.2
-/// either: that release orders exactly the servers in `changed`, and passes over fields that it does not know.
+/// either: that release orders exactly the servers in `changed`, and passes over fields that it does not
+/// know.
 #[test]
 fn a_rollback_of_this_release_is_read_by_release_0_2() {
     /// State file as release 0.2 reads it.
--- a/crates/rollout/tests/rollouts/absent_servers.rs
+++ b/crates/rollout/tests/rollouts/absent_servers.rs
@@ -77,7 +77,8 @@
     assert_eq!(reason, format!("s{first} gone since the change"));
 }
 
-/// Guards against a partition that is taken for the change's doing because the changed server is cut off, too.
+/// Guards against a partition that is taken for the change's doing because the changed server is cut off,
+/// too.
 #[test]
 fn a_partition_that_ends_in_time_does_not_count_against_the_changed_server() {
     let mut fleet = Fleet::new(6, Change::None, 83);
@@ -278,8 +279,8 @@
     assert_eq!(reason, "s2 does not report that it runs what it was ordered to");
 }
 
-/// Guards against a rollout over the whole fleet that is called done without a word of a server which was away
-/// when the last stage began.
+/// Guards against a rollout over the whole fleet that is called done without a word of a server which was
+/// away when the last stage began.
 #[test_case(true; "and it is back at the end")]
 #[test_case(false; "and it stays away")]
 fn the_end_names_a_server_that_was_away_when_the_last_stage_began(returns: bool) {
--- a/crates/rollout/tests/rollouts/soak.rs
+++ b/crates/rollout/tests/rollouts/soak.rs
@@ -1,6 +1,6 @@
 //! Seeded soak of rollouts in simulated time. Servers die, are forgotten by the view, and return with or
-//! without the change; the coordinator is killed and loses the lease; the operator aborts. After each interval
-//! and at the end of the rollout, what the coordinator says is compared with what the servers run.
+//! without the change; the coordinator is killed and loses the lease; the operator aborts. After each
+//! interval and at the end of the rollout, what the coordinator says is compared with what the servers run.
 //!
 //! To run other seeds: `SOAK_SEEDS=FIRST..LAST cargo test -p meadowstream-rollout --test rollouts by_hand --
 //! --ignored --nocapture`.
@@ -173,8 +173,8 @@
         self.deaths[index].is_some_and(|death| self.fleet.interval > death.at + DETECTED_AFTER + 1)
     }
 
-    /// Returns whether a server has been dead since before the first server was changed. The plan need not know
-    /// of such a server.
+    /// Returns whether a server has been dead since before the first server was changed. The plan need not
+    /// know of such a server.
     fn was_never_part_of_the_plan(&self, name: &str) -> bool {
         let index: usize = name[1..].parse().unwrap();
         self.deaths[index].is_some_and(|death| death.at < self.first_change_at)
--- a/crates/server/src/connection/accept.rs
+++ b/crates/server/src/connection/accept.rs
@@ -29,7 +29,8 @@
 }
 
 /// Maximum number of successive failed attempts to accept a connection, before the listener is closed, after
-/// which the next attempt waits. An attempt may fail while the one after it succeeds, also for a lack of memory.
+/// which the next attempt waits. An attempt may fail while the one after it succeeds, also for a lack of
+/// memory.
 const ERRORS_MAX: usize = 32;
 
 /// What is done after a failed attempt to accept a connection.
--- a/crates/server/src/connection/table.rs
+++ b/crates/server/src/connection/table.rs
@@ -71,10 +71,10 @@
 
     /// Queues a notification for the connection's task. Returns false if the connection has ended.
     ///
-    /// The queue has no limit of its own, since an answer that does not fit would be lost. It holds at most one
-    /// answer to each call that was open when the task emptied the queue last, and to each call received since.
-    /// The task receives no bytes in between, so the received bytes limit these calls. They can be more than
-    /// [`OPEN_CALLS_MAX`], because a cancelled call gives its place to the next one at once.
+    /// The queue has no limit of its own, since an answer that does not fit would be lost. It holds at most
+    /// one answer to each call that was open when the task emptied the queue last, and to each call received
+    /// since. The task receives no bytes in between, so the received bytes limit these calls. They can be
+    /// more than [`OPEN_CALLS_MAX`], because a cancelled call gives its place to the next one at once.
     pub fn notify(&self, notification: Notification) -> bool {
         self.notifications.try_send(notification).is_ok()
     }
--- a/crates/server/src/fleet/rollout.rs
+++ b/crates/server/src/fleet/rollout.rs
@@ -148,8 +148,8 @@
     rollout.is_changing.set(false);
 }
 
-/// Records which settings are in force after a change that may have failed halfway, so that reports state what
-/// the server runs. Does nothing if the settings are those of before.
+/// Records which settings are in force after a change that may have failed halfway, so that reports state
+/// what the server runs. Does nothing if the settings are those of before.
 fn record_settings_in_force(server: &Server, rollout: &Rollout) {
     let in_force = server.configuration.candidate.borrow().as_ref().and_then(|candidate| candidate.adopted);
     if rollout.adopted.replace(in_force) == in_force {
