--- a/crates/replication/src/progress.rs
+++ b/crates/replication/src/progress.rs
@@ -98,7 +98,7 @@
     }
 
     /// Records which members are alive at the time `now`. Forgets members that are not alive and have never
-    /// reported, and members that have been away for [`AWAY_MAX_NS`].
+    /// reported, and members that have been away for an hour.
     pub fn observe_alive(&mut self, now: Nanos, is_alive: impl Fn(&str) -> bool) {
         self.members.retain(|name, member| {
             if is_alive(name) {
