A leader does not name itself as away in the status of a publish

No matter of the load: a control machine that knows no leader yet reports to a control machine drawn at random, and that may be itself; its host does not list it among the members that are alive.

Change: a member is away if it is another one and not alive (Peers::is_away).

Evidence: the_status_does_not_name_the_leader_itself failed before ([c0 away] for []) and passes now, as do the other tests of the crate.

--- a/crates/replication/src/member/control.rs
+++ b/crates/replication/src/member/control.rs
@@ -71,7 +71,7 @@
         self.advance_commit(now);
     }
 
-    /// Performs a poll round if it is due: records which members are alive, and on the leader polls lagging
+    /// Performs a poll round if it is due: records which members are away, and on the leader polls lagging
     /// members for their reports and gives up operators' incomplete requests.
     fn poll_lagging(&mut self, now: Nanos) {
         let Some(control) = &mut self.control else { return };
@@ -80,7 +80,7 @@
         }
         control.poll_due = now + POLL_ROUND_INTERVAL_NS;
         let peers = &self.peers;
-        control.progress.observe_alive(now, |name| peers.is_alive(name));
+        control.progress.observe_away(now, |name| peers.is_away(name));
         if !control.replica.is_leader() {
             return;
         }
--- a/crates/replication/src/member/mod.rs
+++ b/crates/replication/src/member/mod.rs
@@ -235,8 +235,8 @@
     /// this control machine. The list is empty on a server.
     pub fn away(&self) -> Vec<LaggingMember> {
         let newest = self.log.complete().number();
-        let is_alive = |name: &str| self.peers.is_alive(name);
-        self.progress().map_or(Vec::new(), |progress| progress.away(is_alive, newest))
+        let is_away = |name: &str| self.peers.is_away(name);
+        self.progress().map_or(Vec::new(), |progress| progress.away(is_away, newest))
     }
 
     /// Returns the number of key-value pairs received so far in the checkpoint transfer in progress; `None`
--- a/crates/replication/src/peers.rs
+++ b/crates/replication/src/peers.rs
@@ -53,6 +53,12 @@
         self.alive.binary_search_by(|other| other.as_str().cmp(name)).is_ok()
     }
 
+    /// Returns whether another member with this name is not alive. The list of alive members may or may not
+    /// include this member itself.
+    pub fn is_away(&self, name: &str) -> bool {
+        name != self.name && !self.is_alive(name)
+    }
+
     fn forget(&mut self, name: &str) {
         let Some(location) = self.locations.remove(name) else { return };
         if let Some(members) = self.zones.get_mut(&location) {
--- a/crates/replication/src/progress.rs
+++ b/crates/replication/src/progress.rs
@@ -97,11 +97,11 @@
         }
     }
 
-    /// Records which members are alive at the time `now`. Forgets members that are not alive and have never
+    /// Records which members are away at the time `now`. Forgets members that are away and have never
     /// reported, and members that have been away for an hour.
-    pub fn observe_alive(&mut self, now: Nanos, is_alive: impl Fn(&str) -> bool) {
+    pub fn observe_away(&mut self, now: Nanos, is_away: impl Fn(&str) -> bool) {
         self.members.retain(|name, member| {
-            if is_alive(name) {
+            if !is_away(name) {
                 member.away_since = None;
                 return true;
             }
@@ -126,8 +126,8 @@
     }
 
     /// Returns the members that are away and had not applied revision `number` when they reported last.
-    pub fn away(&self, is_alive: impl Fn(&str) -> bool, number: u64) -> Vec<LaggingMember> {
-        let away = self.members.iter().filter(|(name, member)| member.report.is_some() && !is_alive(name));
+    pub fn away(&self, is_away: impl Fn(&str) -> bool, number: u64) -> Vec<LaggingMember> {
+        let away = self.members.iter().filter(|(name, member)| member.report.is_some() && is_away(name));
         away.filter_map(|(name, _)| self.lag_of(name, number)).collect()
     }
 
--- a/crates/replication/tests/operator.rs
+++ b/crates/replication/tests/operator.rs
@@ -121,6 +121,19 @@
     }
 }
 
+/// Guards against a leader that names itself as away: it keeps its own report, and its host does not list it
+/// among the members that are alive.
+#[test]
+fn the_status_does_not_name_the_leader_itself() {
+    let mut member = leader();
+    member.on_applied(1, NOW);
+    member.advance(NOW + 1_000_000_000, &Arc::new(vec![OPERATOR.to_string()]));
+    submit(&mut member, 1, "k", "1");
+    let answer = send_request(&mut member, &Message::PollStatus { request: request(101) });
+    let Some(Message::Status { lagging, .. }) = answer.first() else { panic!("{answer:?}") };
+    assert_eq!(*lagging, []);
+}
+
 #[test_case(99, "no change that is still held ends at 99"; "not held")]
 #[test_case(2, "\"k\" was changed again by 3"; "changed since")]
 fn a_revert_that_is_not_possible_is_answered_with_the_reason(number: u64, reason: &str) {
